--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 from typing import Any
 
-from beechlanding import Sender
-from beechlanding import interface as api
-from beechlanding.interface import Effect, MessageClass, Outcome, Settings
+from winchspan import Sender
+from winchspan import interface as api
+from winchspan.interface import Effect, MessageClass, Outcome, Settings
 
 MS = 1_000_000
 SECOND = 1_000 * MS
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -95,7 +95,7 @@
 def run(lines: list[str], hash_seed: str = "0") -> tuple[int, list[list[dict[str, Any]]], str]:
     """Run the adapter in a process of its own."""
     done = subprocess.run(
-        [sys.executable, "-m", "beechlanding.adapter"],
+        [sys.executable, "-m", "winchspan.adapter"],
         input="\n".join(lines) + "\n",
         text=True,
         capture_output=True,
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,8 +3,8 @@
 import sys
 from dataclasses import replace
 
-from beechlanding import interface as api
-from beechlanding.interface import Outcome
+from winchspan import interface as api
+from winchspan.interface import Outcome
 
 from .helpers import CLASSES, MS, SECOND, World
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,7 +1,7 @@
 """The mechanism of 2DFQ^E, with numbers worked by hand (times in ms where they are short)."""
 
-from beechlanding.choice import Sender
-from beechlanding.interface import Outcome, Remark, Row
+from winchspan.choice import Sender
+from winchspan.interface import Outcome, Remark, Row
 
 from .helpers import MS, SECOND, World, settings
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from beechlanding.interface import MessageClass
+from winchspan.interface import MessageClass
 
 from .helpers import settings
 
@@ -15,7 +15,7 @@
 
 
 def test_the_module_stays_small_enough_to_be_read_aloud():
-    lines = (ROOT / "beechlanding" / "choice.py").read_text().splitlines()
+    lines = (ROOT / "winchspan" / "choice.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 710
     assert max(len(line) for line in lines) <= 110
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from beechlanding import Sender
-from beechlanding import interface as api
-from beechlanding.interface import Effect, Outcome
+from winchspan import Sender
+from winchspan import interface as api
+from winchspan.interface import Effect, Outcome
 
 from .helpers import CLASSES, MS, SECOND
 from .helpers import settings as usable
--- a/beechlanding/adapter.py
+++ b/winchspan/adapter.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO, TypeVar
 
-from beechlanding import interface as api
-from beechlanding.choice import Sender
+from winchspan import interface as api
+from winchspan.choice import Sender
 
 _T = TypeVar("_T")
 _EFFECTS = {"repeatable": api.Effect.REPEATABLE, "by_key": api.Effect.KEYED, "once": api.Effect.ONCE}
@@ -266,7 +266,7 @@
         try:
             answer = adapter.reply(line)
         except WireError as err:
-            print(f"beechlanding.adapter: {err}", file=sys.stderr)
+            print(f"winchspan.adapter: {err}", file=sys.stderr)
             return 1
         replies.write(answer + "\n")
         replies.flush()
--- a/beechlanding/choice.py
+++ b/winchspan/choice.py
@@ -1,4 +1,4 @@
-"""All decisions of a beechlanding sender; the types that it speaks in are in `interface.py`.
+"""All decisions of a winchspan sender; the types that it speaks in are in `interface.py`.
 
 The ordinary path is 2DFQ^E (Mace et al., SIGCOMM 2016, section 5 and figure 7): a destination is a tenant
 of the paper, a call slot is a thread. `docs/design.md` says what was changed and when.
@@ -14,8 +14,8 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from beechlanding import interface as api
-from beechlanding.interface import Action, Effect, Event, Listing, MessageClass, Outcome, Settings
+from winchspan import interface as api
+from winchspan.interface import Action, Effect, Event, Listing, MessageClass, Outcome, Settings
 
 # ---- constants -------------------------------------------------------------------------------------------
 SECOND = 1_000_000_000
