--- /dev/null
+++ b/winchspan/settings.py
@@ -0,0 +1,104 @@
+"""Translates fields of nested JSON, and the settings object that the simulator and a real courier share."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from winchspan import interface as api
+
+_T = TypeVar("_T")
+_EFFECTS = {"repeatable": api.Effect.REPEATABLE, "by_key": api.Effect.KEYED, "once": api.Effect.ONCE}
+_RATES = {"nominal": api.ListedRate.EXACT, "rough": api.ListedRate.ROUGH}
+
+
+class FieldError(Exception):
+    """A field is missing or has the wrong type or value; the message names it."""
+
+
+def field(obj: dict[str, Any], name: str, types: type[_T] | tuple[type[_T], ...],
+          default: _T | None = None) -> _T:
+    """Return a field of the right type, or its default when it is absent."""
+    value = obj.get(name)
+    if value is None:
+        if default is None:
+            raise FieldError(f"missing field {name!r}")
+        return default
+    if not isinstance(value, types) or (isinstance(value, bool) and types is not bool):
+        raise FieldError(f"field {name!r} has the wrong type: {value!r:.60}")
+    return value
+
+
+def whole(obj: dict[str, Any], name: str, default: int | None = None) -> int:
+    """Return a whole number."""
+    value = field(obj, name, (int, float), default)
+    if value != int(value):
+        raise FieldError(f"field {name!r} is no whole number: {value!r}")
+    return int(value)
+
+
+def number(obj: dict[str, Any], name: str, default: float | None = None) -> float:
+    """Return a number."""
+    return float(field(obj, name, (int, float), default))
+
+
+def word(words: dict[Any, _T], value: Any, name: str) -> _T:
+    """Return what a word or code of the wire stands for."""
+    try:
+        return words[value]
+    except (KeyError, TypeError):
+        raise FieldError(f"field {name!r} has an unknown value: {value!r:.60}") from None
+
+
+def array(obj: dict[str, Any], name: str) -> list[Any]:
+    """Return a list, empty when absent."""
+    empty: list[Any] = []
+    return field(obj, name, list, empty)
+
+
+def table(obj: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return an object, empty when absent."""
+    empty: dict[str, Any] = {}
+    return field(obj, name, dict, empty)
+
+
+def settings_from_wire(info: dict[str, Any]) -> api.Settings:
+    """Translate the settings object; unknown keys are ignored."""
+    limits, rules, family = table(info, "limits"), table(info, "rules"), table(info, "family_info")
+    classes = {}
+    for row in array(info, "request_classes"):
+        name = field(row, "name", str)
+        classes[name] = api.MessageClass(
+            name=name, worth=number(row, "gain", 1.0), aim_ns=whole(row, "goal_time_ns"),
+            deadline_ns=whole(row, "hard_limit_ns"), late_worth=number(row, "late_worth", 0.0),
+            effect=word(_EFFECTS, row.get("idempotency", "once"), "idempotency"),
+            dedup_ns=whole(row, "window_ns", 0), dedup_per_zone=row.get("group", "all") != "all",
+            ordered=field(row, "in_order", bool, False))
+    apart, per_call = array(family, "kind_apart"), array(family, "per_call")
+    kinds = {name: api.Kind(apart=bool(apart[i]) if i < len(apart) else False,
+                            per_call=int(per_call[i]) if i < len(per_call) else 1)
+             for i, name in enumerate(array(info, "kinds"))}
+    tenants = {field(row, "name", str): api.Tenant(row.get("allowance_per_s"))
+               for row in array(info, "tenants")}
+    return api.Settings(
+        classes=classes, slots=whole(family, "workers"), max_held=whole(limits, "max_open", 1_000),
+        senders=whole(info, "balancers", 1), me=whole(info, "me", 0), zone=field(info, "zone", str, ""),
+        kinds=kinds, tenants=tenants,
+        zone_fees=dict(zip(array(info, "failure_domains"), array(family, "fee_by_zone"), strict=False)),
+        over_share_worth=number(info, "over_share_worth", 1.0),
+        worth_halves=family.get("decay") == "by_half",
+        listed_rate=_RATES.get(field(info, "weights", str, "none"), api.ListedRate.NONE),
+        refused_price=number(family, "refused_price", 0.0),
+        max_attempts=whole(limits, "try_limit", 1_000),
+        second_copies=field(limits, "second_copies", bool, False),
+        can_cancel=field(limits, "cancel", bool, False),
+        can_tell_peers=field(limits, "peers", bool, False), must_subscribe=info.get("discovery") == "ask",
+        max_retry_after_ns=whole(limits, "max_retry_after_ns", 0) if limits.get("retry_after") else 0,
+        connect_timeout_ns=whole(limits, "connect_timeout_ns", 1_000_000_000),
+        keepalive_ns=whole(limits, "keepalive_ns", 5_000_000_000),
+        calls_per_connection=whole(limits, "multiplex", 1),
+        answer_grace_ns=whole(rules, "grace_to_answer_ns", 0),
+        step_ns=whole(info, "step_ns", 1_000_000), drain_grace_ns=whole(rules, "drain_grace_ns", 0),
+        start_capacity=number(rules, "start_capacity", 0.1), cold_ns=whole(rules, "cold_ns", 15_000_000_000),
+        fall_multiple=number(rules, "fall_multiple", 1.0),
+        tip_after_ns=whole(rules, "tip_after_ns", 3_000_000_000),
+        key_rest_ns=whole(rules, "turn_gap_ns", 0))
