--- /dev/null
+++ b/winchspan/__main__.py
@@ -0,0 +1,124 @@
+"""Starts one courier: `python -m winchspan`. It only wires the parts and handles signals."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+
+from loguru import logger
+
+from winchspan import interface as api
+from winchspan.clock import Clock, to_ms
+from winchspan.config import Config, ConfigError, load
+from winchspan.courier import Courier
+from winchspan.deadlines import Deadlines
+from winchspan.journal import Journal
+from winchspan.net.client_link import ClientLinks
+from winchspan.net.hooks import Hooks
+from winchspan.net.host_group import HostGroup, Watch
+from winchspan.net.notices import Notice, Notices
+from winchspan.net.server_link import ServerLinks, SocketBudget
+from winchspan.settings import FieldError
+
+OWN_FILES = 16            # descriptors beside links: streams, the loop, the journal, the listening socket
+LISTEN_ON = 700.0         # after SIGTERM, clients still come for 0.4 s
+START_UNTIL = 2_600.0     # after SIGTERM, new executions start; the platform kills no sooner than 3.7 s
+RUN_UNTIL = 3_400.0       # and this long what is out may still come back
+
+
+class Announcements:
+    """The courier's announcer: notices to the platform."""
+
+    def __init__(self, notices: Notices) -> None:
+        self._notices = notices
+
+    def announce(self, message: str, state: str, after_ms: int, heard: Callable[[], None]) -> None:
+        """Owe the platform a notice."""
+        self._notices.add(Notice(message, state, after_ms, heard))
+
+
+class Daemon:
+    """All parts of one courier."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self._config, self._loop = config, loop
+        settings = replace(config.settings, ends_are_heard=True)
+        self._clock = Clock()
+        self._deadlines = Deadlines(self._clock, loop)
+        self._journal = Journal(config.state, config.disk_bytes)
+        budget = SocketBudget(config.sockets - OWN_FILES)
+        links = ServerLinks(loop, self._clock, self._deadlines, budget,
+                            to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
+        self._group = HostGroup(lambda news: self._courier.listed(news), links.close_idle)
+        self._notices = Notices(links, self._clock, self._deadlines, config.discovery)
+        hooks = Hooks(self._group, links, self._clock, {n: k.per_call for n, k in settings.kinds.items()})
+        self._courier = Courier(settings, config.seed, self._clock, self._deadlines, self._journal, hooks,
+                                Announcements(self._notices), loop.call_soon)
+        self._watch = Watch(self._group, links, self._deadlines, config.discovery)
+        most = max(1, budget.limit - 2 * settings.slots - 4)
+        self._clients = ClientLinks(self._courier, budget, most, links.retire_oldest)
+        self._done = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        if self._config.known:
+            try:
+                self._group.take(self._config.known, api.Scope.STALE)
+            except FieldError as err:
+                logger.error("known: {}", err)
+        self._courier.recover()
+        self._watch.open()
+        await self._clients.listen(self._loop, self._config.listen.host, self._config.listen.port)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop)
+        logger.info("{} listens on {}", self._config.name, self._config.listen)
+        await self._done.wait()
+        self._journal.close()
+        logger.info("{} ends", self._config.name)
+
+    def _stop(self) -> None:
+        """SIGTERM: clients are answered while they come, what is out may end, the rest is in the journal."""
+        if self._clients.closing:
+            return
+        logger.info("stopping: {} executions are out", self._courier.out)
+        self._clients.wind_down()
+        self._deadlines.after(LISTEN_ON, self._clients.stop_listening)
+        self._deadlines.after(START_UNTIL, self._courier.freeze)
+        self._deadlines.after(START_UNTIL, self._wait_for_executions)
+        self._deadlines.after(RUN_UNTIL, self._done.set)
+
+    def _wait_for_executions(self) -> None:
+        if self._courier.out or len(self._notices):
+            self._deadlines.after(20.0, self._wait_for_executions)
+        else:
+            self._done.set()
+
+
+def main() -> int:
+    """Run one courier; a configuration that cannot be used ends it with one line."""
+    try:
+        config = load(os.environ)
+    except ConfigError as err:
+        print(f"winchspan: {err}", file=sys.stderr)
+        return 2
+    logger.remove()
+    logger.add(sys.stderr, level=config.log_level, format="{time:HH:mm:ss.SSS} {level} {message}",
+               backtrace=False, diagnose=False)
+
+    async def serve() -> None:
+        await Daemon(config, asyncio.get_running_loop()).run()
+
+    try:
+        asyncio.run(serve())
+    except OSError as err:
+        print(f"winchspan: {err}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/winchspan/adapter.py
+++ b/winchspan/adapter.py
@@ -41,7 +41,8 @@
     usage, outcome = table(e, "usage"), word(_OUTCOMES, e.get("verdict"), "verdict")
     wait = whole(e, "wait_ms", 0)
     return api.Ended(message=field(e, "corr", str), attempt=whole(e, "round_no"),
-                     endpoint=whole(e, "endpoint"), outcome=outcome, latency_ns=whole(e, "lag_ns", 0), final=field(e, "last", bool, False),
+                     endpoint=whole(e, "endpoint"), outcome=outcome, latency_ns=whole(e, "lag_ns", 0),
+                     final=field(e, "last", bool, False),
                      wait_ns=wait * 1_000_000 if outcome is api.Outcome.FULL else 0,
                      no_slot=outcome is api.Outcome.NOT_SENT and wait == 1,
                      limit_left=number(usage, "x0") if "x0" in usage else None,
--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -157,6 +157,7 @@
         self.running: dict[int, Call] = {}         # calls in flight by slot, in the order sent
         self.endpoints: dict[int, Endpoint] = {}
         self.held: dict[str, Message] = {}
+        self.unheard: dict[str, Message] = {}      # with a key, ended by an answer that is still on its way
         self.flying: dict[tuple[str, int], tuple[Message, Call]] = {}
         self.turns: dict[int, deque[Message]] = {}
         self.rests: dict[int, int] = {}
@@ -185,6 +186,11 @@
                     self._arrived(event)
                 case api.Ended():
                     self._ended(event)
+                case api.Recovered():
+                    self._recovered(event)
+                case api.Heard(message):
+                    if m := self.unheard.pop(message, None):
+                        self._pass_turn(m)
                 case api.EndpointList():
                     self._listed(event)
                 case api.Withdrawn(message):
@@ -420,7 +426,25 @@
         """Come back to a message or call at a time."""
         heappush(self.due, (when, next(self.numbers), what))
 
-    def _arrived(self, event: api.Arrived) -> None:
+    def _recovered(self, event: api.Recovered) -> None:
+        """A message of the life before: what may have run, and when, binds as if it had been sent now."""
+        m = self._arrived(event.arrived)
+        m.attempts = event.attempts
+        if event.ran_ago_ns is not None:
+            m.ran_at, m.ran_zone = self.now - event.ran_ago_ns, event.ran_zone
+            self._at(m.ran_at + m.cls.dedup_ns, m)
+        if event.rests and m.key is not None:
+            self.rests[m.key] = self.now + self.s.key_rest_ns
+        if event.over:
+            self._hush(m)
+
+    def _hush(self, m: Message) -> None:
+        """A message ends by a final answer; its key rests until that is heard."""
+        if self.s.ends_are_heard and m.key is not None:
+            self.unheard[m.id] = m
+        self._close(m)
+
+    def _arrived(self, event: api.Arrived) -> Message:
         cls = self.s.classes.get(event.cls, MessageClass(event.cls))   # unknown: the safest kind
         dest = self._dest(event.destination)
         deadline = self.now + event.left_ns
@@ -431,6 +455,7 @@
         if m.key is not None:
             self.turns.setdefault(m.key, deque()).append(m)
         self._at(deadline - 2 * self.s.step_ns, m)
+        return m
 
     def _value(self, m: Message, at: int) -> float:
         """Worth of a delivery at a time."""
@@ -455,7 +480,7 @@
 
     def _pass_turn(self, m: Message) -> None:
         """Let the next message of the key come forward once this one is over and back."""
-        if m.key is not None and m.over and not m.out:
+        if m.key is not None and m.over and not m.out and m.id not in self.unheard:
             queue = self.turns.get(m.key)
             if queue and m in queue:
                 queue.remove(m)
@@ -467,7 +492,7 @@
         repeats = m.cls.effect is Effect.KEYED and not m.cls.dedup_per_zone
         harmless = repeats or m.cls.effect is Effect.REPEATABLE or (m.ran_at is None and not m.out)
         self.actions.append(api.Refuse(m.id, self.s.max_retry_after_ns) if harmless else api.Fail(m.id))
-        self._close(m)
+        self._hush(m)
 
     def _ended(self, event: api.Ended) -> None:
         """Settle a call, judge its endpoint, and decide what becomes of the message."""
@@ -521,7 +546,7 @@
             if event.limit_left is not None:   # less than a call is left of the allowance: let it fill up
                 lack = 1 - event.limit_left * event.limit_rate
                 e.limit.next_at = max(e.limit.next_at, self.now + int(lack / event.limit_rate * SECOND))
-        if outcome is Outcome.FULL and event.wait_ns:
+        if event.wait_ns:   # a delivered call may tell one too
             e.limit.wait_until = max(e.limit.wait_until, self.now + event.wait_ns)
         if call.judged or outcome is Outcome.NOT_SENT:
             return
--- /dev/null
+++ b/winchspan/config.py
@@ -0,0 +1,117 @@
+"""The one place where configuration is read, checked and given defaults.
+
+The file named by ROUTER_CONFIG holds it as JSON; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and
+ROUTER_STATE override what the file says. Every complaint names the faulty key.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from winchspan import interface as api
+from winchspan.settings import FieldError, field, number, settings_from_wire, table, whole
+
+LEAST_SOCKETS = 32
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the message names the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where to listen or connect."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a courier is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: int
+    log_level: str
+    known: Mapping[str, Any]
+    settings: api.Settings
+
+
+def parse_address(text: str, key: str) -> Address:
+    """Read `host:port`."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65_535:
+        raise ConfigError(f"{key}: expected host:port, not {text!r:.80}")
+    return Address(host.strip("[]"), int(port))
+
+
+def _read(path: str) -> dict[str, Any]:
+    """Read the file."""
+    try:
+        data = json.loads(Path(path).read_bytes())
+    except OSError as err:
+        raise ConfigError(f"ROUTER_CONFIG: cannot read {path}: {err.strerror}") from None
+    except ValueError as err:
+        raise ConfigError(f"ROUTER_CONFIG: {path} is not JSON: {err}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"ROUTER_CONFIG: {path} must hold an object")
+    return data
+
+
+def _seed(text: str) -> int:
+    """Read the seed, hexadecimal digits."""
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected hexadecimal digits, not {text!r:.80}") from None
+
+
+def load(env: Mapping[str, str]) -> Config:
+    """Read the configuration; raises a ConfigError that names the faulty key."""
+    path = env.get("ROUTER_CONFIG")
+    data = _read(path) if path else {}
+
+    def told(variable: str, key: str, default: str | None = None) -> str:
+        value = env.get(variable) or field(data, key, str, default)
+        if not value:
+            raise ConfigError(f"{key}: missing; give {variable} or {key!r} in ROUTER_CONFIG")
+        return value
+
+    try:
+        limits = table(data, "limits")
+        name = told("ROUTER_NAME", "name", "winchspan")
+        listen = parse_address(told("ROUTER_LISTEN", "listen", ""), "listen")
+        discovery = parse_address(told("ROUTER_DISCOVERY", "discovery", ""), "discovery")
+        state = Path(told("ROUTER_STATE", "state", ""))
+        sockets = whole(limits, "sockets", 1_024)
+        disk = number(limits, "disk_mb", 3.0)
+        level = env.get("ROUTER_LOG", "INFO").upper()
+        known, seed = table(data, "known"), _seed(field(data, "seed", str, "0"))
+    except FieldError as err:
+        raise ConfigError(str(err)) from None
+    if sockets < LEAST_SOCKETS:
+        raise ConfigError(f"limits.sockets: must be at least {LEAST_SOCKETS}, not {sockets}")
+    if disk <= 0:
+        raise ConfigError(f"limits.disk_mb: must be positive, not {disk}")
+    if level not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+        raise ConfigError(f"ROUTER_LOG: expected DEBUG, INFO, WARNING or ERROR, not {level!r:.80}")
+    if not state.is_dir():
+        raise ConfigError(f"state: {state} is not a folder")
+    try:
+        settings = settings_from_wire(field(data, "settings", dict))
+    except (FieldError, ValueError, TypeError, AttributeError) as err:
+        raise ConfigError(f"settings: {err}") from None
+    return Config(name=name, listen=listen, discovery=discovery, state=state, seed=seed, sockets=sockets,
+                  disk_bytes=int(disk * 1_000_000), log_level=level, known=known, settings=settings)
--- /dev/null
+++ b/winchspan/courier.py
@@ -0,0 +1,347 @@
+"""Queries and executions: what drives the decision module, whatever protocols stand before and behind it.
+
+A query is a message taken on; an execution is one attempt to deliver some of them in one call. What happens
+is written to the journal and gathered as events; once in a turn of the loop the module takes them, and its
+actions are carried out. Nothing is judged here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from loguru import logger
+
+from winchspan import interface as api
+from winchspan.choice import Sender
+from winchspan.clock import Clock, to_ms, to_ns
+from winchspan.deadlines import Deadline, Deadlines
+from winchspan.journal import Entry, Journal, JournalFull
+from winchspan.slots import SlotTable
+
+
+class Busy(Exception):
+    """The message is refused; there may be room `retry_after` milliseconds later."""
+
+    def __init__(self, retry_after: float) -> None:
+        super().__init__(retry_after)
+        self.retry_after = retry_after
+
+
+class BadRequest(Exception):
+    """The message cannot be taken as it is."""
+
+
+@dataclass(slots=True)
+class Query:
+    """A message taken on, until nothing more is owed for it and no execution of it is out."""
+
+    number: int               # in the journal
+    id: str
+    dest: int
+    deadline: float
+    token: str                # idempotency key, passed on unchanged
+    body: bytes
+    handle: int = 0
+    attempts: int = 0
+    execution: Execution | None = None
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Execution:
+    """One call that is out, with its queries' handles and the numbers of their attempts."""
+
+    endpoint: int
+    members: list[tuple[int, int]]
+    started: float
+    call: Cancellable | None = None
+    cancelled: set[int] = field(default_factory=set)    # handles whose cancellation has been told
+
+
+@dataclass(slots=True, frozen=True)
+class Parcel:
+    """What of a query goes to the endpoint."""
+
+    id: str
+    token: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """How an execution ended for one query."""
+
+    outcome: api.Outcome
+    over: bool = False        # nothing more is owed for it
+    wait_ms: float = 0.0
+    no_slot: bool = False
+    limit_left: float | None = None
+    limit_rate: float | None = None
+
+
+class Cancellable(Protocol):
+    """A call that is out."""
+
+    def cancel(self) -> None:
+        """Stop waiting for it; its end is still told."""
+
+
+class Carrier(Protocol):
+    """Carries executions to endpoints."""
+
+    def start(self, endpoint: int, parcels: list[Parcel], until: float,
+              done: Callable[[list[Verdict]], None]) -> Cancellable:
+        """Begin a call; `done` gets a verdict for each parcel, later and once."""
+
+    def close_idle(self, endpoint: int) -> None:
+        """Close the idle connections to an endpoint."""
+
+    def describe(self, endpoint: int) -> tuple[str, str, int]:
+        """Name and zone of an endpoint, and how many messages a call to it may hold."""
+
+
+class Announcer(Protocol):
+    """Tells the platform the end of messages that were not delivered."""
+
+    def announce(self, message: str, state: str, after_ms: int, heard: Callable[[], None]) -> None:
+        """Send a notice until it is answered; `heard` is called then."""
+
+
+MAY_HAVE_RUN = {api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED}
+
+
+class Courier:
+    """Owns the queries and drives `Sender.handle`."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, deadlines: Deadlines,
+                 journal: Journal, carrier: Carrier, announcer: Announcer,
+                 soon: Callable[[Callable[[], None]], object]) -> None:
+        self._settings, self._clock, self._deadlines, self._journal = settings, clock, deadlines, journal
+        self._carrier, self._announcer, self._soon = carrier, announcer, soon
+        self._sender = Sender(settings, seed)
+        self._queries: SlotTable[Query] = SlotTable()
+        self._by_id: dict[str, int] = {}
+        self._held = 0                    # queries whose end the module still owes
+        self._out = 0                     # executions out
+        self._events: list[api.Event] = []
+        self._turn_due = False
+        self._timers: dict[int, Deadline] = {}
+        self._frozen = False
+
+    # ---- what comes in -----------------------------------------------------------------------------------
+    @property
+    def out(self) -> int:
+        """How many executions are out."""
+        return self._out
+
+    def take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
+             body: bytes) -> int:
+        """Take a message on and return its query's handle; raises Busy or BadRequest."""
+        if cls not in self._settings.classes:
+            raise BadRequest(f"unknown class {cls!r:.60}")
+        if (known := self._by_id.get(message)) is not None:
+            return known                  # the same request once more: it is taken on already
+        retry_after = to_ms(self._settings.max_retry_after_ns)
+        if self._held >= self._settings.max_held:
+            raise Busy(retry_after)
+        now = self._clock.now()
+        try:
+            number = self._journal.take(message, cls, key, dest, self._clock.unix() + left, token, body)
+        except JournalFull:
+            raise Busy(retry_after) from None
+        query = Query(number, message, dest, now + left, token, body)
+        self._add(query)
+        self._event(api.Arrived(message, cls, dest, to_ns(left), key=key))
+        return query.handle
+
+    def withdraw(self, handle: int) -> None:
+        """The client has gone without its answer: nothing is owed for the message."""
+        query = self._queries.get(handle)
+        if query is not None and not query.over:
+            self._event(api.Withdrawn(query.id))
+            self._journal.ended([query.number])
+            self._over(query)
+
+    def listed(self, news: api.EndpointList) -> None:
+        """The list of endpoints has changed."""
+        self._event(news)
+
+    def recover(self) -> None:
+        """Take up the open messages of the life before, in the order of their taking."""
+        now, unix = self._clock.now(), self._clock.unix()
+        for entry in list(self._journal.entries):
+            left = entry.deadline - unix
+            query = Query(entry.number, entry.id, entry.dest, now + left, entry.token, entry.body,
+                          attempts=entry.attempts)
+            self._add(query)
+            self._event(self._recovered(entry, left, unix))
+            if entry.notice is not None:
+                self._over(query)
+                self._announce(query, entry.notice, entry.after_ms)
+        logger.info("recovered {} open messages", len(self._queries))
+
+    def _recovered(self, entry: Entry, left: float, unix: float) -> api.Recovered:
+        """What the module must know of a message; an execution that was out may have run."""
+        rests = entry.out_at is not None
+        if rests:
+            self._journal.returned([entry.number], may_have_run=True)
+        return api.Recovered(
+            api.Arrived(entry.id, entry.cls, entry.dest, to_ns(max(0.0, left)), key=entry.key),
+            entry.attempts, None if entry.ran_at is None else to_ns(max(0.0, unix - entry.ran_at)),
+            entry.ran_zone, rests, over=entry.notice is not None)
+
+    def freeze(self) -> None:
+        """Start nothing more; what is out is still taken to its end and journalled."""
+        self._frozen = True
+
+    # ---- turns -------------------------------------------------------------------------------------------
+    def _event(self, event: api.Event) -> None:
+        """Gather an event; all that one pass of the loop brings are handled together."""
+        self._events.append(event)
+        if not self._turn_due:
+            self._turn_due = True
+            self._soon(self._turn)
+
+    def _turn(self) -> None:
+        """Let the module decide, and carry out what it says."""
+        self._turn_due = False
+        if self._frozen:
+            return
+        events, self._events = self._events, []
+        now = self._clock.now()
+        try:
+            actions = self._sender.handle(to_ns(now), events)
+        except Exception:   # guards against a fault in one decision that would end the courier
+            logger.exception("the decision module failed on {} events", len(events))
+            return
+        sends: dict[int, list[tuple[Query, float]]] = {}
+        for action in actions:
+            match action:
+                case api.Send(message, endpoint, until):
+                    query = self._query(message)
+                    if query is not None:
+                        sends.setdefault(endpoint, []).append((query, to_ms(until)))
+                case api.Refuse(message, retry_after):
+                    self._finish(message, "returned", int(to_ms(retry_after)))
+                case api.Fail(message):
+                    self._finish(message, "failed", 0)
+                case api.Cancel(message, attempt):
+                    self._cancel(message, attempt)
+                case api.SetTimer(after, token):
+                    self._set_timer(now + to_ms(after), token)
+                case api.CloseIdle(endpoint):
+                    self._carrier.close_idle(endpoint)
+                case api.Remark(text):
+                    logger.info("decision: {}", text)
+                case api.Subscribe() | api.TellPeers():
+                    logger.debug("not on this platform: {}", action)
+        for endpoint, members in sends.items():
+            self._execute(endpoint, members, now)
+
+    def _set_timer(self, at: float, token: int) -> None:
+        """Tell the module when it is time; a later timer of the same token replaces the earlier one."""
+        if token in self._timers:
+            self._timers[token].cancel()
+        self._timers[token] = self._deadlines.add(at, lambda: self._event(api.TimerFired(token)))
+
+    # ---- executions --------------------------------------------------------------------------------------
+    def _execute(self, endpoint: int, members: list[tuple[Query, float]], now: float) -> None:
+        """Start what goes to one endpoint, as many messages in a call as it takes."""
+        name, zone, per_call = self._carrier.describe(endpoint)
+        for first in range(0, len(members), per_call):
+            part = members[first:first + per_call]
+            execution = Execution(endpoint, [], now)
+            for query, _ in part:
+                execution.members.append((query.handle, query.attempts))
+                query.attempts += 1
+                query.execution = execution
+            self._out += 1
+            numbers = [query.number for query, _ in part]
+            if not self._journal.started(numbers, name, zone, self._clock.unix()):
+                # Without a record a restart would not know that it may have run: it does not go.
+                unsent = [Verdict(api.Outcome.NOT_SENT)] * len(part)
+                self._soon(lambda e=execution, v=unsent: self._returned(e, v))   # type: ignore[misc]
+                continue
+            # The longest patience of the members: a shorter one is short by its deadline, at which the module
+            # ends the message itself.
+            until = max(min(until, query.deadline) for query, until in part)
+            parcels = [Parcel(query.id, query.token, query.body) for query, _ in part]
+            execution.call = self._carrier.start(
+                endpoint, parcels, until, lambda verdicts, e=execution: self._returned(e, verdicts))  # type: ignore[misc]
+
+    def _cancel(self, message: str, attempt: int) -> None:
+        """Stop waiting for one attempt; its call is closed once none of its members waits."""
+        query = self._query(message)
+        execution = query.execution if query is not None else None
+        if query is None or execution is None or (query.handle, attempt) not in execution.members:
+            return
+        execution.cancelled.add(query.handle)
+        if execution.call is not None and len(execution.cancelled) == len(execution.members):
+            execution.call.cancel()
+
+    def _returned(self, execution: Execution, verdicts: list[Verdict]) -> None:
+        """A call is back: journal each member's end, and tell the module."""
+        self._out -= 1
+        back: dict[bool, list[int]] = {}
+        ended: list[int] = []
+        latency = to_ns(self._clock.now() - execution.started)
+        for (handle, attempt), verdict in zip(execution.members, verdicts, strict=True):
+            query = self._queries.get(handle)
+            if query is None:
+                continue
+            query.execution = None
+            final = verdict.over or query.over
+            if verdict.over and not query.over:
+                ended.append(query.number)
+            elif not query.over:
+                back.setdefault(verdict.outcome in MAY_HAVE_RUN, []).append(query.number)
+            self._event(api.Ended(query.id, attempt, execution.endpoint, verdict.outcome, latency, final,
+                                  to_ns(verdict.wait_ms), verdict.no_slot, verdict.limit_left,
+                                  verdict.limit_rate))
+            if final:
+                self._over(query)
+                self._drop(query)
+        if ended:
+            self._journal.ended(ended)
+        for may_have_run, numbers in back.items():
+            self._journal.returned(numbers, may_have_run)
+
+    # ---- queries -----------------------------------------------------------------------------------------
+    def _add(self, query: Query) -> None:
+        query.handle = self._queries.add(query)
+        self._by_id[query.id] = query.handle
+        self._held += 1
+
+    def _query(self, message: str) -> Query | None:
+        handle = self._by_id.get(message)
+        return None if handle is None else self._queries.get(handle)
+
+    def _over(self, query: Query) -> None:
+        """The module owes the query nothing more."""
+        if not query.over:
+            query.over = True
+            self._held -= 1
+        self._drop(query)
+
+    def _drop(self, query: Query) -> None:
+        """Forget a query that is over, once no execution of it is out."""
+        if query.over and query.execution is None:
+            self._queries.remove(query.handle)
+            self._by_id.pop(query.id, None)
+
+    def _finish(self, message: str, state: str, after_ms: int) -> None:
+        """End a query by a notice."""
+        query = self._query(message)
+        if query is not None and not query.over:
+            self._journal.notice(query.number, state, after_ms)
+            self._over(query)
+            self._announce(query, state, after_ms)
+
+    def _announce(self, query: Query, state: str, after_ms: int) -> None:
+        """Owe the platform a notice until it is answered."""
+        def heard() -> None:
+            self._journal.ended([query.number])
+            self._event(api.Heard(query.id))
+        self._announcer.announce(query.id, state, after_ms, heard)
--- /dev/null
+++ b/winchspan/deadlines.py
@@ -0,0 +1,81 @@
+"""All deadlines hang here, in one ordered structure with one loop timer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from heapq import heapify, heappop, heappush
+from itertools import count
+
+from loguru import logger
+
+from winchspan.clock import Clock
+
+
+class Deadline:
+    """One entry; `cancel` keeps it from firing."""
+
+    __slots__ = ("at", "action")
+
+    def __init__(self, at: float, action: Callable[[], None]) -> None:
+        self.at = at
+        self.action: Callable[[], None] | None = action
+
+    def cancel(self) -> None:
+        """Keep it from firing; it does no harm afterwards."""
+        self.action = None
+
+
+class Deadlines:
+    """A heap of deadlines; cancelled ones are dropped when they come up or outnumber the rest."""
+
+    def __init__(self, clock: Clock, loop: asyncio.AbstractEventLoop | None = None) -> None:
+        self._clock = clock
+        self._loop = loop
+        self._heap: list[tuple[float, int, Deadline]] = []
+        self._numbers = count()
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float("inf")
+        self._limit = 1_024
+
+    def add(self, at: float, action: Callable[[], None]) -> Deadline:
+        """Call `action` once the clock reads `at`."""
+        entry = Deadline(at, action)
+        heappush(self._heap, (at, next(self._numbers), entry))
+        if len(self._heap) > self._limit:   # guards against a heap that grows by cancelled entries
+            self._heap = [item for item in self._heap if item[2].action is not None]
+            heapify(self._heap)
+            self._limit = max(1_024, 2 * len(self._heap))
+        self._arm()
+        return entry
+
+    def after(self, delay: float, action: Callable[[], None]) -> Deadline:
+        """Call `action` after some milliseconds."""
+        return self.add(self._clock.now() + delay, action)
+
+    def run_due(self) -> None:
+        """Fire all that is due; an action that raises is logged and does not stop the others."""
+        now = self._clock.now()
+        while self._heap and (self._heap[0][0] <= now or self._heap[0][2].action is None):
+            action = heappop(self._heap)[2].action
+            if action is not None:
+                try:
+                    action()
+                except Exception:
+                    logger.exception("a deadline's action failed")
+        self._arm()
+
+    def _arm(self) -> None:
+        """Set the loop's timer to the first entry."""
+        if self._loop is None or not self._heap or self._heap[0][0] >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = self._heap[0][0]
+        delay = max(0.0, self._timer_at - self._clock.now()) / 1_000.0
+        self._timer = self._loop.call_later(delay, self._fire)
+
+    def _fire(self) -> None:
+        """The loop's timer is due."""
+        self._timer, self._timer_at = None, float("inf")
+        self.run_due()
--- a/winchspan/interface.py
+++ b/winchspan/interface.py
@@ -118,6 +118,7 @@
     fall_multiple: float = 1.0
     tip_after_ns: int = 3_000_000_000
     key_rest_ns: int = 0
+    ends_are_heard: bool = False   # a `Heard` follows each Refuse and Fail; until then a key's turn is kept
 
     def __post_init__(self) -> None:
         """Raise a ValueError that names the first setting that cannot be used."""
@@ -173,6 +174,29 @@
     key: int | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Recovered:
+    """A message that this sender took before it was started again, in the order of taking.
+
+    Its attempts count on. `ran_ago_ns` is the time since the sending of the first that may have run, `rests`
+    marks that one was out when the sender died, and `over` that its end is out but has not been heard.
+    """
+
+    arrived: Arrived
+    attempts: int = 0
+    ran_ago_ns: int | None = None
+    ran_zone: str = ""
+    rests: bool = False
+    over: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """The final answer of a message, a Refuse or a Fail, has been heard."""
+
+    message: str
+
+
 @dataclass(slots=True, frozen=True)
 class Ended:
     """An attempt ended; `final` marks that the message is over with it or was before."""
@@ -211,7 +235,7 @@
     data: bytes
 
 
-Event: TypeAlias = EndpointList | Arrived | Ended | TimerFired | Withdrawn | PeerNote
+Event: TypeAlias = EndpointList | Arrived | Recovered | Heard | Ended | TimerFired | Withdrawn | PeerNote
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/winchspan/journal.py
@@ -0,0 +1,254 @@
+"""The lasting journal: what was taken, each execution before it starts, and each end.
+
+One file of records, each `length, checksum, payload`; the payload is one line of JSON and, for a message
+taken, its body behind it. Records go to the operating system with one write() and no buffer of our own: they
+outlast the process, SIGKILL included, and need no fsync. A torn or broken tail is cut off at the next start.
+When the file has grown it is written anew with the open messages only; old and new file together stay within
+the folder's limit.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from struct import Struct
+from typing import Any
+from zlib import crc32
+
+from loguru import logger
+
+_HEAD = Struct("<II")
+_MAX_RECORD = 256 * 1024
+_FIT = 0.95               # part of the folder's limit that is used: files count in whole 512 bytes
+_TAKE = 0.80              # what is taken on leaves the rest for executions and ends
+_GARBAGE = 64 * 1024      # a file is written anew when this and more than its open records is dead
+
+
+class JournalFull(Exception):
+    """There is no room for another message."""
+
+
+@dataclass(slots=True)
+class Entry:
+    """An open message as the journal knows it; all times are Unix milliseconds."""
+
+    number: int               # the order of taking
+    id: str
+    cls: str
+    key: int | None
+    dest: int
+    deadline: float
+    token: str                # the idempotency key, passed on unchanged
+    body: bytes
+    attempts: int = 0
+    out_at: float | None = None   # an execution is out since
+    out_zone: str = ""
+    ran_at: float | None = None   # sending of the first execution that may have run
+    ran_zone: str = ""
+    notice: str | None = None     # the end that is owed to the platform
+    after_ms: int = 0
+    size: int = 0                 # bytes of its records in a file written anew
+
+    def records(self) -> list[bytes]:
+        """The records that stand for it in a file written anew."""
+        fields: dict[str, Any] = {"n": self.number, "id": self.id, "c": self.cls, "k": self.key,
+                                  "d": self.dest, "until": self.deadline, "token": self.token}
+        if self.attempts:
+            fields |= {"tries": self.attempts, "out": self.out_at, "out_zone": self.out_zone,
+                       "ran": self.ran_at, "ran_zone": self.ran_zone}
+        if self.notice is not None:
+            fields |= {"notice": self.notice, "after": self.after_ms}
+        return [_record({"t": "taken"} | fields, self.body)]
+
+
+def _record(fields: dict[str, Any], body: bytes = b"") -> bytes:
+    payload = json.dumps(fields, separators=(",", ":")).encode() + b"\n" + body
+    return _HEAD.pack(len(payload), crc32(payload)) + payload
+
+
+class Journal:
+    """Keeps the open messages in memory and on disk alike."""
+
+    def __init__(self, folder: Path, limit: int) -> None:
+        self._path, self._new = folder / "messages.journal", folder / "messages.journal.new"
+        self._limit = limit
+        self._entries: dict[int, Entry] = {}
+        self._live = 0             # bytes of a file written anew
+        self._next = 1
+        self._new.unlink(missing_ok=True)   # a rewriting that the last process did not finish
+        self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self._size = self._recover()
+        self._rewrite()
+
+    @property
+    def entries(self) -> Iterable[Entry]:
+        """The open messages in the order of taking."""
+        return sorted(self._entries.values(), key=lambda e: e.number)
+
+    def take(self, entry_id: str, cls: str, key: int | None, dest: int, deadline: float, token: str,
+             body: bytes) -> int:
+        """Record that a message is taken on and return its number; raises JournalFull."""
+        entry = Entry(self._next, entry_id, cls, key, dest, deadline, token, body)
+        data = entry.records()[0]
+        # What it takes for ever: its record now, and once more when the file is written anew.
+        if self._live + 2 * len(data) + self._live > self._limit * _TAKE:
+            raise JournalFull
+        if not self._append(data):
+            raise JournalFull
+        self._next += 1
+        self._entries[entry.number] = entry
+        self._resize(entry, len(data))
+        return entry.number
+
+    def started(self, numbers: list[int], endpoint: str, zone: str, at: float) -> bool:
+        """Record an execution of some messages in one call, before its bytes go out."""
+        if not self._append(_record({"t": "started", "n": numbers, "at": at, "to": endpoint, "zone": zone})):
+            return False
+        for number in numbers:
+            self._apply_started(number, at, zone)
+        return True
+
+    def returned(self, numbers: list[int], may_have_run: bool) -> None:
+        """Record that an execution is back, and whether it may have run."""
+        self._append(_record({"t": "back", "n": numbers, "ran": may_have_run}))
+        for number in numbers:
+            self._apply_back(number, may_have_run)
+
+    def notice(self, number: int, state: str, after_ms: int) -> None:
+        """Record the end that is owed to the platform."""
+        self._append(_record({"t": "notice", "n": number, "state": state, "after": after_ms}))
+        self._apply_notice(number, state, after_ms)
+
+    def ended(self, numbers: list[int]) -> None:
+        """Record that nothing more is owed for some messages."""
+        self._append(_record({"t": "end", "n": numbers}))
+        for number in numbers:
+            self._apply_end(number)
+
+    def close(self) -> None:
+        """Let go of the file."""
+        os.close(self._fd)
+
+    # ---- what records do to the table --------------------------------------------------------------------
+    def _resize(self, entry: Entry, size: int) -> None:
+        self._live += size - entry.size
+        entry.size = size
+
+    def _apply_started(self, number: int, at: float, zone: str) -> None:
+        if entry := self._entries.get(number):
+            if not entry.attempts:
+                self._resize(entry, entry.size + 120 + len(zone) * 2)   # at most what its fields will take
+            entry.attempts += 1
+            entry.out_at, entry.out_zone = at, zone
+
+    def _apply_back(self, number: int, ran: bool) -> None:
+        if entry := self._entries.get(number):
+            if ran and entry.ran_at is None:
+                entry.ran_at, entry.ran_zone = entry.out_at, entry.out_zone
+            entry.out_at = None
+
+    def _apply_notice(self, number: int, state: str, after_ms: int) -> None:
+        if entry := self._entries.get(number):
+            if entry.notice is None:
+                self._resize(entry, entry.size + 60)
+            entry.notice, entry.after_ms = state, after_ms
+
+    def _apply_end(self, number: int) -> None:
+        if entry := self._entries.pop(number, None):
+            self._live -= entry.size
+
+    def _apply(self, fields: dict[str, Any], body: bytes, size: int) -> None:
+        """Take one record of the file."""
+        kind = fields["t"]
+        if kind == "taken":
+            entry = Entry(int(fields["n"]), fields["id"], fields["c"], fields["k"], int(fields["d"]),
+                          float(fields["until"]), fields["token"], body, fields.get("tries", 0),
+                          fields.get("out"), fields.get("out_zone", ""), fields.get("ran"),
+                          fields.get("ran_zone", ""), fields.get("notice"), fields.get("after", 0))
+            self._entries[entry.number] = entry
+            self._resize(entry, size)
+            self._next = max(self._next, entry.number + 1)
+        elif kind == "started":
+            for number in fields["n"]:
+                self._apply_started(number, fields["at"], fields["zone"])
+        elif kind == "back":
+            for number in fields["n"]:
+                self._apply_back(number, fields["ran"])
+        elif kind == "notice":
+            self._apply_notice(fields["n"], fields["state"], fields["after"])
+        elif kind == "end":
+            for number in fields["n"]:
+                self._apply_end(number)
+
+    # ---- the file ----------------------------------------------------------------------------------------
+    def _recover(self) -> int:
+        """Read the file up to its end or the first broken record, cut the rest, and return its size."""
+        data = os.pread(self._fd, os.fstat(self._fd).st_size, 0)
+        at = 0
+        while at + _HEAD.size <= len(data):
+            length, checksum = _HEAD.unpack_from(data, at)
+            payload = data[at + _HEAD.size:at + _HEAD.size + length]
+            if length > _MAX_RECORD or len(payload) < length or crc32(payload) != checksum:
+                break
+            line, _, body = payload.partition(b"\n")
+            try:
+                self._apply(json.loads(line), body, _HEAD.size + length)
+            except (ValueError, KeyError, TypeError):
+                break
+            at += _HEAD.size + length
+        if at < len(data):
+            logger.warning("journal: cut {} bytes of a torn tail", len(data) - at)
+            os.ftruncate(self._fd, at)
+        os.lseek(self._fd, at, os.SEEK_SET)
+        return at
+
+    def _append(self, data: bytes) -> bool:
+        """Write one record; False if there is no room for it."""
+        tight = self._size + self._live + 2 * len(data) > self._limit * _FIT
+        if tight or self._size > 2 * self._live + _GARBAGE:
+            self._rewrite()
+        if self._size + len(data) > self._limit * _FIT:
+            logger.error("journal: no room for {} bytes beside {}", len(data), self._size)
+            return False
+        try:
+            self._write(self._fd, data)
+        except OSError as err:
+            logger.error("journal: cannot write: {}", err)
+            os.ftruncate(self._fd, self._size)   # no half record may stand before later ones
+            os.lseek(self._fd, self._size, os.SEEK_SET)
+            return False
+        self._size += len(data)
+        return True
+
+    @staticmethod
+    def _write(fd: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(fd, view):]
+
+    def _rewrite(self) -> None:
+        """Write the open messages to a new file and put it in the old one's place."""
+        pieces = {e.number: b"".join(e.records()) for e in self.entries}
+        total = sum(len(piece) for piece in pieces.values())
+        if total >= self._size or self._size + total > self._limit * _FIT:
+            return
+        try:
+            fd = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        except OSError as err:
+            logger.error("journal: cannot write anew: {}", err)
+            return
+        try:
+            self._write(fd, b"".join(pieces.values()))
+            os.replace(self._new, self._path)
+        except OSError as err:
+            logger.error("journal: cannot write anew: {}", err)
+            os.close(fd)
+            self._new.unlink(missing_ok=True)
+            return
+        os.close(self._fd)
+        self._fd, self._size, self._live = fd, total, total
+        for number, piece in pieces.items():
+            self._entries[number].size = len(piece)
--- /dev/null
+++ b/winchspan/net/client_link.py
@@ -0,0 +1,199 @@
+"""Client links: RESP2 requests in, answers out."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+from typing import Protocol
+
+from loguru import logger
+
+from winchspan.courier import BadRequest, Busy
+from winchspan.net import resp
+from winchspan.net.receive import ReceiveBuffer
+from winchspan.net.server_link import SocketBudget
+from winchspan.slots import SlotTable
+
+_ID = re.compile(rb"[0-9A-Za-z_-]{1,64}")
+_KEY = re.compile(rb"[0-9a-fA-F]{1,32}")
+_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
+
+
+class Intake(Protocol):
+    """What takes messages on."""
+
+    def take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
+             body: bytes) -> int:
+        """Take a message on and return its query's handle; raises Busy or BadRequest."""
+
+    def withdraw(self, handle: int) -> None:
+        """The client has gone without its answer."""
+
+
+def submit(words: list[bytes], intake: Intake) -> int:
+    """Read `SUBMIT KEY ID NAMES BODY` and hand the message in."""
+    if len(words) != 5:
+        raise BadRequest("SUBMIT takes a key, an id, a list of names and a body")
+    _, key, message, names, body = words
+    if not _KEY.fullmatch(key):
+        raise BadRequest("the key is not hexadecimal")
+    if not _ID.fullmatch(message):
+        raise BadRequest("the id is not plain")
+    values: dict[str, str] = {}
+    for item in names.decode("latin-1").split(","):
+        name, equals, value = item.partition("=")
+        if not equals or not value.isprintable():
+            raise BadRequest("the names are not NAME=VALUE")
+        values[name] = value
+    left, dest, token = values.get("d", ""), values.get("dest", ""), values.get("k", "")
+    if not _NUMBER.fullmatch(left):
+        raise BadRequest("d is no number of milliseconds")
+    if not (dest.isascii() and dest.isdigit() and len(dest) <= 18):
+        raise BadRequest("dest is no number")
+    if token and not _ID.fullmatch(token.encode("latin-1")):
+        raise BadRequest("k is not plain")
+    return intake.take(message.decode(), values.get("c", ""), int(key, 16) or None, int(dest), float(left),
+                       token, body)
+
+
+class ClientLink(asyncio.BufferedProtocol):
+    """One client's connection. Every request is answered at once, in the order of reading."""
+
+    def __init__(self, links: ClientLinks) -> None:
+        self._links = links
+        self._buffer = ReceiveBuffer()
+        self._parser = resp.RequestParser()
+        self._transport: asyncio.Transport | None = None
+        self._unsent: list[int] = []      # queries whose answer has not wholly reached the system
+        self._refused = False
+        self.handle = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A client has connected."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        if not self._links.opened(self):
+            self._refused = True
+            transport.write(resp.error("BUSY"))
+            transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The client has gone; what it has not been told is withdrawn."""
+        if not self._refused:
+            self._links.gone(self)
+        for handle in self._unsent:
+            self._links.intake.withdraw(handle)
+        self._unsent.clear()
+
+    def pause_writing(self) -> None:
+        """Guards against a client that sends and never reads: it is not read any further."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """All answers have reached the system."""
+        self._unsent.clear()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the loop may put the next bytes."""
+        return self._buffer.space()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Answer every request that has come whole."""
+        buffer, transport = self._buffer, self._transport
+        buffer.end += nbytes
+        if transport is None or transport.is_closing():
+            return
+        answers: list[bytes] = []
+        taken: list[int] = []
+        broken = False
+        try:
+            while found := self._parser.next(buffer.data, buffer.start, buffer.end):
+                words, buffer.start = found
+                answers.extend(self._answer(words, taken))
+        except resp.RespError as err:
+            logger.warning("client link: {}", err)
+            answers.append(resp.error(f"ERR Protocol error: {err}"))
+            broken = True
+        if answers:
+            self._unsent.extend(taken)
+            transport.writelines(answers)
+            if not transport.get_write_buffer_size():
+                self._unsent.clear()
+        if broken or (self._links.closing and not len(buffer)):
+            transport.close()
+
+    def _answer(self, words: list[bytes], taken: list[int]) -> tuple[bytes, ...]:
+        """Carry out one request."""
+        command = words[0].upper()
+        try:
+            if command == b"SUBMIT":
+                taken.append(submit(words, self._links.intake))
+                return (resp.simple("OK"),)
+            if command == b"PING":
+                return resp.bulk(words[1]) if len(words) > 1 else (resp.simple("PONG"),)
+            return (resp.error(f"ERR unknown command {words[0][:32].decode('latin-1')!r}"),)
+        except Busy as busy:
+            return (resp.error(f"BUSY {busy.retry_after:.0f}" if busy.retry_after else "BUSY"),)
+        except BadRequest as err:
+            return (resp.error(f"ERR {err}"),)
+        except Exception:      # guards against a fault of ours that would end every client's link
+            logger.exception("a request failed")
+            return (resp.error("ERR internal error"),)
+
+    def close_if_idle(self) -> None:
+        """Close, unless part of a request has come."""
+        if self._transport is not None and not len(self._buffer) and not self._parser.begun:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class ClientLinks:
+    """All client links, and the socket that accepts them."""
+
+    def __init__(self, intake: Intake, budget: SocketBudget, most: int,
+                 make_room: Callable[[], bool]) -> None:
+        self.intake = intake
+        self.closing = False
+        self._budget, self._most, self._make_room = budget, most, make_room
+        self._links: SlotTable[ClientLink] = SlotTable()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
+        """Accept clients at an address; returns the port."""
+        self._server = await loop.create_server(lambda: ClientLink(self), host, port, backlog=512)
+        self._budget.open += 1
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def opened(self, link: ClientLink) -> bool:
+        """Count a client in; False if there is no room for it."""
+        if len(self._links) >= self._most or (self._budget.spare() < 1 and not self._make_room()):
+            return False
+        link.handle = self._links.add(link)
+        self._budget.open += 1
+        return True
+
+    def gone(self, link: ClientLink) -> None:
+        """A client has gone."""
+        if self._links.remove(link.handle) is not None:
+            self._budget.open -= 1
+
+    def wind_down(self) -> None:
+        """From now on each link is closed once it is idle; clients may still come."""
+        self.closing = True
+        for link in self._links:
+            link.close_if_idle()
+
+    def stop_listening(self) -> None:
+        """Accept no more."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
--- /dev/null
+++ b/winchspan/net/hooks.py
@@ -0,0 +1,129 @@
+"""Carries executions to endpoints as HTTP calls, one message or several in each, and reads their answers."""
+
+from __future__ import annotations
+
+import json
+from base64 import b64encode
+from collections.abc import Callable
+
+from loguru import logger
+
+from winchspan import interface as api
+from winchspan.clock import Clock
+from winchspan.courier import Parcel, Verdict
+from winchspan.net import http
+from winchspan.net.host_group import HostGroup
+from winchspan.net.server_link import Call, CallEnd, Fate, ServerLinks
+
+_FATES = {Fate.NOT_WRITTEN: api.Outcome.CONNECT_FAILED, Fate.BROKEN: api.Outcome.RESET,
+          Fate.TIMED_OUT: api.Outcome.TIMEOUT, Fate.CANCELLED: api.Outcome.CANCELLED}
+_STATES = {"ok": (api.Outcome.DELIVERED, True), "error": (api.Outcome.ERROR, False),
+           "later": (api.Outcome.FULL, False), "gone": (api.Outcome.NOT_SENT, True),
+           "exhausted": (api.Outcome.NOT_SENT, False)}
+
+
+class Hooks:
+    """The carrier of this platform."""
+
+    def __init__(self, group: HostGroup, links: ServerLinks, clock: Clock, kinds: dict[str, int]) -> None:
+        self._group, self._links, self._clock, self._kinds = group, links, clock, kinds
+
+    def start(self, endpoint: int, parcels: list[Parcel], until: float,
+              done: Callable[[list[Verdict]], None]) -> Call:
+        """Begin a call; `done` gets a verdict for each parcel."""
+        address = self._group.hosts[endpoint].address
+        patience = max(0.0, until - self._clock.now()) / 1_000.0
+        if len(parcels) == 1:
+            pieces = _one(parcels[0], str(address), patience)
+        else:
+            pieces = _many(parcels, str(address), patience)
+        return self._links.call(address, pieces, until, lambda end: done(read(end, parcels)))
+
+    def close_idle(self, endpoint: int) -> None:
+        """Close the idle links to an endpoint."""
+        self._links.close_idle(self._group.hosts[endpoint].address)
+
+    def describe(self, endpoint: int) -> tuple[str, str, int]:
+        """Name and zone of an endpoint, and how many messages a call to it may hold."""
+        host = self._group.hosts[endpoint]
+        return host.name, host.zone, self._kinds.get(host.kind, 1)
+
+
+def _one(parcel: Parcel, host: str, patience: float) -> list[bytes]:
+    headers = [("X-Request-Id", parcel.id), ("X-Deadline", f"{patience:.3f}")]
+    if parcel.token:
+        headers.append(("Idempotency-Key", parcel.token))
+    return http.request("POST", "/hook", host, headers, parcel.body)
+
+
+def _many(parcels: list[Parcel], host: str, patience: float) -> list[bytes]:
+    items = []
+    for parcel in parcels:
+        item = {"id": parcel.id}
+        if parcel.token:
+            item["key"] = parcel.token
+        items.append(item | {"body": b64encode(parcel.body).decode()})
+    headers = [("X-Deadline", f"{patience:.3f}"), ("Content-Type", "application/json")]
+    body = json.dumps(items, separators=(",", ":")).encode()
+    return http.request("POST", "/hook/batch", host, headers, body)
+
+
+def read(end: CallEnd, parcels: list[Parcel]) -> list[Verdict]:
+    """What the end of a call means for each message in it."""
+    answer = end.answer
+    if answer is None:
+        return [Verdict(_FATES[end.fate])] * len(parcels)
+    status, wait = answer.status, _wait(answer.headers.get("x-ratelimit-wait-ms", ""))
+    left, rate = _report(answer.headers.get("x-load", ""))
+    if status == 200 and len(parcels) > 1:
+        return _each(bytes(answer.body), parcels, wait, left, rate)
+    if status == 200:
+        verdict = Verdict(api.Outcome.DELIVERED, True, wait, False, left, rate)
+    elif status in (429, 503) and answer.headers.get("x-over-slots") == "1":
+        verdict = Verdict(api.Outcome.NOT_SENT, no_slot=True)
+    elif status in (429, 503):
+        verdict = Verdict(api.Outcome.FULL, False, wait, False, left, rate)
+    elif status in (410, 504):
+        verdict = Verdict(api.Outcome.NOT_SENT, status == 410)
+    else:
+        if status != 500:
+            logger.warning("an endpoint answered {}", status)
+        verdict = Verdict(api.Outcome.ERROR, False, wait, False, left, rate)
+    return [verdict] * len(parcels)
+
+
+def _each(body: bytes, parcels: list[Parcel], wait: float, left: float | None,
+          rate: float | None) -> list[Verdict]:
+    """The ends of several messages; one that is not told may have run."""
+    states: dict[object, object] = {}
+    try:
+        for row in json.loads(body):
+            states[row["id"]] = row["state"]
+    except (ValueError, TypeError, KeyError) as err:
+        logger.warning("the answer to several messages cannot be read: {!r:.100}", err)
+    verdicts = []
+    for parcel in parcels:
+        outcome, over = _STATES.get(str(states.get(parcel.id)), (api.Outcome.ERROR, False))
+        verdicts.append(Verdict(outcome, over, wait, False, left, rate))
+    return verdicts
+
+
+def _wait(text: str) -> float:
+    """Milliseconds to wait; 0 if none is told or it cannot be read."""
+    try:
+        wait = float(text) if text else 0.0
+    except ValueError:
+        return 0.0
+    return wait if 0.0 < wait < 1e9 else 0.0
+
+
+def _report(text: str) -> tuple[float | None, float | None]:
+    """The share of the allowance left and the limit, from `x0=0.4,x1=25`."""
+    values: dict[str, float] = {}
+    for item in text.split(",") if text else ():
+        name, _, value = item.partition("=")
+        try:
+            values[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return values.get("x0"), values.get("x1")
--- /dev/null
+++ b/winchspan/net/host_group.py
@@ -0,0 +1,156 @@
+"""The host group: discovery's list of endpoints, and the watch that keeps it up to date."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+from winchspan import interface as api
+from winchspan.config import Address, ConfigError, parse_address
+from winchspan.deadlines import Deadline, Deadlines
+from winchspan.net import http
+from winchspan.net.server_link import Call, CallEnd, ServerLinks
+from winchspan.settings import FieldError, array, field, number, whole, word
+
+SILENCE = 3_000.0         # an empty line comes every 2 s while the watch lives
+AGAIN = 200.0             # between two watches
+_MAX_LINE = 1024 * 1024
+_FOREVER = 1e15
+_LISTINGS = {"up": api.Listing.IN_SERVICE, "draining": api.Listing.DRAINING, "removed": api.Listing.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """An endpoint as the list names it."""
+
+    number: int
+    name: str
+    address: Address
+    dest: int
+    zone: str
+    kind: str
+    listing: api.Listing
+    share: float
+
+    def row(self) -> api.Row:
+        """The endpoint as the decision module sees it."""
+        return api.Row(self.number, self.dest, self.listing, self.zone, self.kind, self.share)
+
+
+class HostGroup:
+    """Numbers the endpoints and keeps what was last said of each."""
+
+    def __init__(self, on_list: Callable[[api.EndpointList], None],
+                 on_leave: Callable[[Address], None] = lambda address: None) -> None:
+        self.seq = -1
+        self.hosts: dict[int, Host] = {}
+        self._numbers: dict[tuple[str, int], int] = {}
+        self._on_list, self._on_leave = on_list, on_leave
+
+    def take(self, news: Mapping[str, Any], scope: api.Scope | None = None) -> None:
+        """Take one list or change; raises FieldError, and then nothing of it counts."""
+        data = dict(news)
+        seq, complete = whole(data, "seq"), field(data, "whole", bool, False)
+        hosts = [self._host(row) for row in array(data, "hosts")]
+        if seq < self.seq or (seq == self.seq and not complete):
+            return                    # stale: the list held is newer
+        self.seq = seq
+        for host in hosts:
+            self._numbers[host.name, host.dest] = host.number
+            before = self.hosts.get(host.number)
+            self.hosts[host.number] = host
+            if before is not None and before.address != host.address:
+                self._on_leave(before.address)
+            if host.listing is not api.Listing.IN_SERVICE:
+                self._on_leave(host.address)
+        scope = scope or (api.Scope.WHOLE if complete else api.Scope.CHANGES)
+        self._on_list(api.EndpointList(scope, tuple(host.row() for host in hosts)))
+
+    def _host(self, row: object) -> Host:
+        """Read one entry."""
+        if not isinstance(row, dict):
+            raise FieldError(f"hosts: an entry must be an object, not {row!r:.60}")
+        name, dest = field(row, "host", str), whole(row, "block")
+        try:
+            address = parse_address(field(row, "dial", str), "dial")
+        except ConfigError as err:
+            raise FieldError(str(err)) from None
+        known = self._numbers.get((name, dest))
+        if known is None:
+            known = self._numbers[name, dest] = len(self._numbers) + 1
+        return Host(known, name, address, dest, field(row, "site", str, ""), field(row, "class", str, ""),
+                    word(_LISTINGS, row.get("health", "up"), "health"), number(row, "share", 1.0))
+
+
+class Watch:
+    """Follows discovery: one long answer with a line for each change, opened again whenever it ends."""
+
+    def __init__(self, group: HostGroup, links: ServerLinks, deadlines: Deadlines, address: Address) -> None:
+        self._group, self._links, self._deadlines, self._address = group, links, deadlines, address
+        self._call: Call | None = None
+        self._silent: Deadline | None = None
+        self._line = bytearray()
+        self._fresh = False           # ask for the whole list: what came did not fit
+
+    def open(self) -> None:
+        """Open the watch from the version held."""
+        since = "" if self._fresh or self._group.seq < 0 else f"&since={self._group.seq}"
+        self._line.clear()
+        pieces = http.request("GET", f"/api/targets?follow=1{since}", str(self._address))
+        self._call = self._links.call(self._address, pieces, _FOREVER, self._ended, self._body)
+        self._listen()
+
+    def _listen(self) -> None:
+        """Expect something within the time in which an empty line must come."""
+        if self._silent is not None:
+            self._silent.cancel()
+        self._silent = self._deadlines.after(SILENCE, self._quiet)
+
+    def _quiet(self) -> None:
+        """Nothing has come for too long: discovery is down, or the watch is dead."""
+        logger.debug("host group: the watch is silent")
+        if self._call is not None:
+            self._call.cancel()
+
+    def _body(self, piece: bytes) -> None:
+        """Take the lines that are whole."""
+        self._listen()
+        *lines, rest = (bytes(self._line) + piece).split(b"\n")
+        self._line[:] = rest
+        for line in lines:
+            if line.strip():
+                self._news(line)
+        if len(self._line) > _MAX_LINE:
+            logger.warning("host group: a line of over {} bytes", _MAX_LINE)
+            self._again_whole()
+
+    def _news(self, line: bytes) -> None:
+        try:
+            news = json.loads(line)
+            if not isinstance(news, dict):
+                raise FieldError("a line must hold an object")
+            self._group.take(news)
+            self._fresh = False
+        except (ValueError, FieldError) as err:
+            logger.warning("host group: unreadable news: {}", err)
+            self._again_whole()
+
+    def _again_whole(self) -> None:
+        """What came cannot be used: begin again with the whole list."""
+        self._fresh = True
+        self._line.clear()
+        if self._call is not None:
+            self._call.cancel()
+
+    def _ended(self, end: CallEnd) -> None:
+        """The watch has ended; open it again."""
+        self._call = None
+        if self._silent is not None:
+            self._silent.cancel()
+        if end.answer is not None and end.answer.status != 200:
+            logger.warning("host group: discovery answered {}", end.answer.status)
+        self._deadlines.after(AGAIN, self.open)
--- /dev/null
+++ b/winchspan/net/http.py
@@ -0,0 +1,175 @@
+"""HTTP/1.1 as a client needs it: answers parsed in place over the receive buffer, request heads written."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 4 * 1024 * 1024
+_MAX_CHUNK_LINE = 1_024
+
+
+class HttpError(Exception):
+    """The bytes are no HTTP/1.1 answer that this client takes."""
+
+
+class AnswerParser:
+    """Reads one answer; `take` says how many bytes it has used, and `done` tells its end.
+
+    With `on_body` set before the body comes, its pieces go there and are not kept.
+    """
+
+    def __init__(self, on_body: Callable[[bytes], None] | None = None) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.done = False
+        self.keep_alive = True
+        self._on_body = on_body
+        self._step: Callable[[bytearray, int, int], int | None] = self._head
+        self._left = 0
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head has come."""
+        return self.status != 0
+
+    def take(self, buffer: bytearray, start: int, end: int) -> int:
+        """Use what lies in the buffer between two places and return where it stopped."""
+        while not self.done:
+            at = self._step(buffer, start, end)
+            if at is None:
+                break
+            start = at
+        return start
+
+    def ended(self) -> None:
+        """The connection has ended: that is the end of a body without a length."""
+        if self._step == self._until_end:
+            self.done = True
+
+    def _head(self, buffer: bytearray, start: int, end: int) -> int | None:
+        stop = buffer.find(b"\r\n\r\n", start, min(end, start + MAX_HEAD))
+        if stop < 0:
+            if end - start >= MAX_HEAD:
+                raise HttpError("the head is too long")
+            return None
+        with memoryview(buffer) as view:
+            lines = str(view[start:stop], "latin-1").split("\r\n")
+        words = lines[0].split(" ", 2)
+        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not _digits(words[1], 3):
+            raise HttpError(f"no status line: {lines[0]!r:.60}")
+        for line in lines[1:]:
+            name, colon, value = line.partition(":")
+            if not colon or not name or name != name.strip():
+                raise HttpError(f"no header: {line!r:.60}")
+            self.headers[name.lower()] = value.strip()
+        status = int(words[1])
+        if status < 200:            # an interim answer: the real one follows
+            self.headers.clear()
+            if status == 101:
+                raise HttpError("the connection was switched to another protocol")
+            return stop + 4
+        self.status = status
+        tokens = {token.strip() for token in self.headers.get("connection", "").lower().split(",")}
+        self.keep_alive = "close" not in tokens and (words[0] != "HTTP/1.0" or "keep-alive" in tokens)
+        self._begin_body()
+        return stop + 4
+
+    def _begin_body(self) -> None:
+        """Decide how the body is framed."""
+        coding, length = self.headers.get("transfer-encoding"), self.headers.get("content-length")
+        if self.status in (204, 304):
+            self.done = True
+        elif coding is not None:
+            if coding.lower() != "chunked":
+                raise HttpError(f"unknown transfer coding {coding!r:.60}")
+            self._step = self._chunk_size
+        elif length is not None:
+            if not _digits(length, 9) or int(length) > MAX_BODY:
+                raise HttpError(f"a body of {length!r:.60} bytes")
+            self._left = int(length)
+            self.done = not self._left
+            self._step = self._sized
+        else:
+            self.keep_alive = False
+            self._step = self._until_end
+
+    def _keep(self, buffer: bytearray, start: int, stop: int) -> None:
+        """Pass a piece of the body on."""
+        with memoryview(buffer) as view, view[start:stop] as piece:
+            if self._on_body is not None:
+                self._on_body(bytes(piece))
+                return
+            self.body += piece
+        if len(self.body) > MAX_BODY:
+            raise HttpError("the body is too long")
+
+    def _sized(self, buffer: bytearray, start: int, end: int) -> int | None:
+        stop = min(end, start + self._left)
+        if stop == start:
+            return None
+        self._keep(buffer, start, stop)
+        self._left -= stop - start
+        self.done = not self._left
+        return stop
+
+    def _until_end(self, buffer: bytearray, start: int, end: int) -> int | None:
+        if start == end:
+            return None
+        self._keep(buffer, start, end)
+        return end
+
+    def _chunk_size(self, buffer: bytearray, start: int, end: int) -> int | None:
+        stop = buffer.find(b"\r\n", start, min(end, start + _MAX_CHUNK_LINE))
+        if stop < 0:
+            if end - start >= _MAX_CHUNK_LINE:
+                raise HttpError("a chunk's length does not end")
+            return None
+        digits = bytes(buffer[start:stop]).partition(b";")[0].strip()
+        if not 1 <= len(digits) <= 8 or any(d not in b"0123456789abcdefABCDEF" for d in digits):
+            raise HttpError(f"no chunk length: {digits!r:.60}")
+        self._left = int(digits, 16)
+        if self._left > MAX_BODY:
+            raise HttpError("a chunk is too long")
+        self._step = self._chunk if self._left else self._trailer
+        return stop + 2
+
+    def _chunk(self, buffer: bytearray, start: int, end: int) -> int | None:
+        if not self._left:
+            if end - start < 2:
+                return None
+            if buffer[start] != 13 or buffer[start + 1] != 10:
+                raise HttpError("a chunk does not end where it should")
+            self._step = self._chunk_size
+            return start + 2
+        stop = min(end, start + self._left)
+        if stop == start:
+            return None
+        self._keep(buffer, start, stop)
+        self._left -= stop - start
+        return stop
+
+    def _trailer(self, buffer: bytearray, start: int, end: int) -> int | None:
+        stop = buffer.find(b"\r\n", start, min(end, start + MAX_HEAD))
+        if stop < 0:
+            if end - start >= MAX_HEAD:
+                raise HttpError("a trailer is too long")
+            return None
+        self.done = stop == start
+        return stop + 2
+
+
+def _digits(text: str, most: int) -> bool:
+    """Whether the text is a plain number of at most so many digits."""
+    return text.isascii() and text.isdigit() and len(text) <= most
+
+
+def request(method: str, path: str, host: str, headers: Iterable[tuple[str, str]] = (),
+            body: bytes | None = None) -> list[bytes]:
+    """A request in pieces for a gathered write: its head, then its body."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", *(f"{name}: {value}" for name, value in headers)]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    return [head, body] if body else [head]
--- /dev/null
+++ b/winchspan/net/notices.py
@@ -0,0 +1,75 @@
+"""Notices to the platform: the end of each message taken on and not delivered, repeated until answered."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from winchspan.clock import Clock
+from winchspan.config import Address
+from winchspan.deadlines import Deadlines
+from winchspan.net import http
+from winchspan.net.server_link import CallEnd, Fate, ServerLinks
+
+PATIENCE = 500.0          # the answer comes at once
+AGAIN = 50.0
+MOST = 200                # notices in one request
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """One end that the platform is owed."""
+
+    message: str
+    state: str                # "failed" or "returned"
+    after_ms: int
+    heard: Callable[[], None]
+
+    def line(self) -> bytes:
+        """The notice as the platform reads it."""
+        data: dict[str, object] = {"id": self.message, "state": self.state}
+        if self.state == "returned" and self.after_ms:
+            data["after_ms"] = self.after_ms
+        return json.dumps(data, separators=(",", ":")).encode() + b"\n"
+
+
+class Notices:
+    """Sends what is owed, one request at a time; those that come meanwhile go together in the next."""
+
+    def __init__(self, links: ServerLinks, clock: Clock, deadlines: Deadlines, address: Address) -> None:
+        self._links, self._clock, self._deadlines, self._address = links, clock, deadlines, address
+        self._owed: list[Notice] = []
+        self._busy = False
+
+    def __len__(self) -> int:
+        return len(self._owed)
+
+    def add(self, notice: Notice) -> None:
+        """Send a notice; `heard` is called once it is answered."""
+        self._owed.append(notice)
+        if not self._busy:
+            self._busy = True
+            self._deadlines.add(self._clock.now(), self._send)
+
+    def _send(self) -> None:
+        batch = self._owed[:MOST]
+        pieces = http.request("POST", "/v1/notices", str(self._address),
+                              body=b"".join(notice.line() for notice in batch))
+        self._links.call(self._address, pieces, self._clock.now() + PATIENCE,
+                         lambda end: self._ended(end, batch))
+
+    def _ended(self, end: CallEnd, batch: list[Notice]) -> None:
+        if end.fate is Fate.ANSWERED and end.answer is not None and 200 <= end.answer.status < 300:
+            del self._owed[:len(batch)]
+            self._busy = bool(self._owed)
+            if self._owed:
+                self._deadlines.add(self._clock.now(), self._send)
+            for notice in batch:
+                notice.heard()
+            return
+        status = end.answer.status if end.answer is not None else end.fate.value
+        logger.warning("notices: {} not answered: {}", len(batch), status)
+        self._deadlines.after(AGAIN, self._send)
--- /dev/null
+++ b/winchspan/net/server_link.py
@@ -0,0 +1,288 @@
+"""Server links: connections to HTTP servers, one call at a time on each, and the pool that keeps them warm.
+
+Nothing is resent here. A call ends in exactly one `CallEnd`, once its connection is closed or idle again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from loguru import logger
+
+from winchspan.clock import Clock
+from winchspan.config import Address
+from winchspan.deadlines import Deadline, Deadlines
+from winchspan.net.http import AnswerParser, HttpError
+from winchspan.net.receive import ReceiveBuffer
+from winchspan.slots import SlotTable
+
+
+class Fate(Enum):
+    """How a call ended."""
+
+    ANSWERED = "answered"
+    NOT_WRITTEN = "not written"     # its last byte was never written
+    BROKEN = "broken"               # the connection ended after that
+    TIMED_OUT = "timed out"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True)
+class CallEnd:
+    """The end of a call, with the answer if there was one."""
+
+    fate: Fate
+    answer: AnswerParser | None = None
+
+
+class SocketBudget:
+    """Counts the sockets that are open against the process's limit."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.open = 0
+
+    def spare(self) -> int:
+        """How many more may be opened."""
+        return self.limit - self.open
+
+
+class Call:
+    """One request on its way, from `ServerLinks.call` until its end is told."""
+
+    __slots__ = ("pieces", "done", "parser", "link", "timers", "ending")
+
+    def __init__(self, pieces: list[bytes], done: Callable[[CallEnd], None], parser: AnswerParser) -> None:
+        self.pieces = pieces
+        self.done: Callable[[CallEnd], None] | None = done
+        self.parser = parser
+        self.link: ServerLink | None = None
+        self.timers: list[Deadline] = []
+        self.ending: Fate | None = None
+
+    def cancel(self) -> None:
+        """Stop waiting; the end is told once the connection is closed."""
+        self.stop(Fate.CANCELLED)
+
+    def stop(self, fate: Fate) -> None:
+        """Give the call up by closing its connection."""
+        if self.done is not None and self.ending is None and self.link is not None:
+            self.ending = fate
+            self.link.abort()
+
+    def end(self, end: CallEnd) -> None:
+        """Tell the end, once."""
+        done, self.done = self.done, None
+        for timer in self.timers:
+            timer.cancel()
+        if done is not None:
+            done(end)
+
+
+class ServerLink(asyncio.BufferedProtocol):
+    """One connection: connecting, idle, busy with one call, or closed."""
+
+    def __init__(self, pool: ServerLinks, address: Address) -> None:
+        self._pool = pool
+        self.address = address
+        self.handle = 0
+        self.call: Call | None = None
+        self.retire: Deadline | None = None
+        self._buffer = ReceiveBuffer()
+        self._transport: asyncio.Transport | None = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._written = False
+        self.closed = False
+
+    # ---- life --------------------------------------------------------------------------------------------
+    def connect(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Start to connect, for the call at hand."""
+        self._loop = loop
+        self._connecting = loop.create_task(self._connect(loop))
+
+    async def _connect(self, loop: asyncio.AbstractEventLoop) -> None:
+        try:
+            await loop.create_connection(lambda: self, self.address.host, self.address.port)
+        except OSError:
+            self._close()
+
+    def abort(self) -> None:
+        """Close at once, whatever is on the way."""
+        if self._transport is not None:
+            self._transport.abort()
+        elif self._connecting is not None:
+            self._connecting.cancel()
+            self._loop.call_soon(self._close)   # a task cancelled before its first step does not get there
+
+    def begin(self, call: Call) -> None:
+        """Write a call on this idle link."""
+        self.call, call.link = call, self
+        if self.retire is not None:
+            self.retire.cancel()
+            self.retire = None
+        self._write()
+
+    def _write(self) -> None:
+        assert self.call is not None and self._transport is not None
+        self._written = False
+        self._transport.writelines(self.call.pieces)
+        self._written = self._transport.get_write_buffer_size() == 0
+
+    def _close(self) -> None:
+        """The connection is over: so is the call on it."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.retire is not None:
+            self.retire.cancel()
+        call, self.call = self.call, None
+        self._pool.gone(self)
+        if call is None:
+            return
+        if not self._written:
+            fate = Fate.CANCELLED if call.ending is Fate.CANCELLED else Fate.NOT_WRITTEN
+        else:
+            fate = call.ending or Fate.BROKEN
+        call.end(CallEnd(fate))
+
+    # ---- what the loop calls -----------------------------------------------------------------------------
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up; the call that waited for it goes out."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        if self.call is None or self.call.ending is not None:
+            transport.abort()
+        else:
+            self._write()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone."""
+        self._close()
+
+    def resume_writing(self) -> None:
+        """All that was to be written has reached the system."""
+        self._written = True
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the loop may put the next bytes."""
+        return self._buffer.space()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Read on in the answer."""
+        buffer = self._buffer
+        buffer.end += nbytes
+        call = self.call
+        if call is None or call.ending is not None:
+            self.abort()           # guards against bytes that no call asked for
+            return
+        try:
+            buffer.start = call.parser.take(buffer.data, buffer.start, buffer.end)
+        except HttpError as err:
+            logger.warning("server link {}: {}", self.address, err)
+            self.abort()
+            return
+        if call.parser.done:
+            self._answered(call)
+
+    def eof_received(self) -> bool:
+        """The other side has ended; an answer without a length ends with it."""
+        if self.call is not None and self.call.ending is None:
+            self.call.parser.ended()
+            if self.call.parser.done:
+                self._answered(self.call)
+        return False
+
+    def _answered(self, call: Call) -> None:
+        """The answer is whole: the link is idle again, or closed where it cannot be used further."""
+        self.call = None
+        if call.parser.keep_alive and self._written and not len(self._buffer):
+            self._pool.idle(self)
+        else:
+            self.abort()
+        call.end(CallEnd(Fate.ANSWERED, call.parser))
+
+
+class ServerLinks:
+    """The pool: idle links by server, newest last."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, deadlines: Deadlines,
+                 budget: SocketBudget, connect_timeout: float, keepalive: float) -> None:
+        self._loop, self._clock, self._deadlines, self._budget = loop, clock, deadlines, budget
+        self._connect_timeout = connect_timeout
+        # An idle link is retired well before the server would close it: a request that crosses with that
+        # close ends as a reset, and may have run.
+        self._keepalive = max(keepalive - 1_000.0, keepalive / 2)
+        self._links: SlotTable[ServerLink] = SlotTable()
+        self._idle: dict[Address, list[ServerLink]] = {}
+
+    def call(self, address: Address, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
+             on_body: Callable[[bytes], None] | None = None) -> Call:
+        """Write a request on a warm link, or else on a new one; `done` gets its end."""
+        call = Call(pieces, done, AnswerParser(on_body))
+        call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
+        warm = self._idle.get(address)
+        if warm:
+            link = warm.pop()
+            link.begin(call)
+            return call
+        if self._budget.spare() < 1:
+            self.retire_oldest()
+        link = ServerLink(self, address)
+        link.handle = self._links.add(link)
+        link.call, call.link = call, link
+        self._budget.open += 1
+        limit = self._clock.now() + self._connect_timeout
+        call.timers.append(self._deadlines.add(limit, lambda: self._not_up(link, call)))
+        link.connect(self._loop)
+        return call
+
+    @staticmethod
+    def _not_up(link: ServerLink, call: Call) -> None:
+        """The time to connect is over."""
+        if link.call is call and link._transport is None:
+            call.stop(Fate.NOT_WRITTEN)
+
+    def idle(self, link: ServerLink) -> None:
+        """A link is free for another call."""
+        self._idle.setdefault(link.address, []).append(link)
+        handle = link.handle
+        link.retire = self._deadlines.after(self._keepalive, lambda: self._retire(handle))
+
+    def _retire(self, handle: int) -> None:
+        link = self._links.get(handle)
+        if link is not None and link.call is None:
+            self._forget(link)
+            link.abort()
+
+    def close_idle(self, address: Address) -> None:
+        """Close the idle links to a server."""
+        for link in self._idle.pop(address, []):
+            link.abort()
+
+    def retire_oldest(self) -> bool:
+        """Close the link that has been idle longest; False if none is idle."""
+        oldest = [links[0] for links in self._idle.values() if links]
+        if not oldest:
+            return False
+        link = min(oldest, key=lambda link: link.retire.at if link.retire else 0.0)
+        self._forget(link)
+        link.abort()
+        return True
+
+    def _forget(self, link: ServerLink) -> None:
+        """Take a link off the idle ones."""
+        links = self._idle.get(link.address)
+        if links and link in links:
+            links.remove(link)
+            if not links:
+                del self._idle[link.address]
+
+    def gone(self, link: ServerLink) -> None:
+        """A link is closed."""
+        self._forget(link)
+        if self._links.remove(link.handle) is not None:
+            self._budget.open -= 1
