--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -29,6 +29,7 @@
     endpoint: int
     parcels: list[Parcel]
     until: float
+    begin_by: float | None
     done: Callable[[list[Verdict]], None]
     cancelled: bool = False
 
@@ -45,15 +46,19 @@
     def __init__(self, journal: Journal, per_call: int) -> None:
         self.journal, self.per_call = journal, per_call
         self.sent: list[Sent] = []
+        self.recalled: list[int] = []
         self.recorded: list[list[str]] = []       # executions in the journal when each call began
         self.notices: dict[str, tuple[str, int, Callable[[], None]]] = {}
 
-    def start(self, endpoint: int, parcels: list[Parcel], until: float,
+    def start(self, endpoint: int, parcels: list[Parcel], until: float, begin_by: float | None,
               done: Callable[[list[Verdict]], None]) -> Sent:
         self.recorded.append([e.id for e in self.journal.entries if e.out_at is not None])
-        self.sent.append(Sent(endpoint, parcels, until, done))
+        self.sent.append(Sent(endpoint, parcels, until, begin_by, done))
         return self.sent[-1]
 
+    def recall(self, endpoint: int) -> None:
+        self.recalled.append(endpoint)
+
     def close_idle(self, endpoint: int) -> None:
         pass
 
@@ -71,7 +76,8 @@
     def __init__(self, folder: Path, kind: str = "", disk: int = 1_000_000, **changes: Any) -> None:
         self.folder, self.kind, self.disk = folder, kind, disk
         classes = CLASSES | {"keyed": KEYED}
-        self.settings = replace(settings(**{"classes": classes} | changes), ends_are_heard=True)
+        values = settings(**{"classes": classes} | changes)
+        self.settings = replace(values, ends_are_heard=True, can_recall=True)
         self.clock = SetClock()
         self.start()
 
@@ -80,8 +86,8 @@
         self.deadlines = Deadlines(self.clock)
         self.journal = Journal(self.folder, self.disk)
         self.out = Outside(self.journal, 5 if self.kind == "batch" else 1)
-        self.courier = Courier(self.settings, 1, self.clock, self.deadlines, self.journal, self.out, self.out,
-                               self.turns.append)
+        self.courier = Courier(self.settings, 1, self.clock, self.deadlines, self.journal, self.out,
+                               self.out, self.turns.append)
         rows = tuple(api.Row(e, e // 10, kind=self.kind) for e in (11, 21))
         self.courier.listed(api.EndpointList(api.Scope.STALE, rows))
         self.courier.recover()
@@ -293,3 +299,32 @@
     monkeypatch.undo()
     world.put("b")
     assert world.ids() == [["b"]]
+
+
+def test_a_drain_and_a_wait_take_back_what_still_waits_for_a_connection(tmp_path: Path):
+    """A connection may come up long after the call was decided, and after the drain or the wait was told."""
+    world = World(tmp_path)
+    world.put("a")
+    drain = api.Row(11, 1, api.Listing.DRAINING)
+    world.courier.listed(api.EndpointList(api.Scope.CHANGES, (drain,)))
+    world.run()
+    assert world.out.recalled == [11]
+    (tmp_path / "other").mkdir()
+    world = World(tmp_path / "other")
+    world.put("b")
+    world.put("c")
+    world.out.sent[0].end(Verdict(Outcome.FULL, wait_ms=500))
+    world.run()
+    assert world.ids() == [["b"], ["c"]] and world.out.recalled == [11]
+
+
+def test_a_repeat_must_be_out_within_its_window(tmp_path: Path):
+    """The connection that it needs may come up only after the window: it then does not go."""
+    world = World(tmp_path)
+    world.put("a", "keyed", key=9)
+    first = world.clock.now()
+    world.run(100)
+    world.out.sent[0].end(Verdict(Outcome.ERROR))
+    world.run(1_000)
+    assert world.out.sent[0].begin_by is None
+    assert world.out.sent[1].begin_by == pytest.approx(first + 8_000)
--- a/tests/test_hooks.py
+++ b/tests/test_hooks.py
@@ -50,6 +50,7 @@
     (CallEnd(Fate.NOT_WRITTEN), Outcome.CONNECT_FAILED, False, 0, False),
     (CallEnd(Fate.BROKEN), Outcome.RESET, False, 0, False),
     (CallEnd(Fate.TIMED_OUT), Outcome.TIMEOUT, False, 0, False),
+    (CallEnd(Fate.RECALLED), Outcome.NOT_SENT, False, 0, False),
     (CallEnd(Fate.CANCELLED), Outcome.CANCELLED, False, 0, False)])
 def test_what_an_end_means(end: CallEnd, outcome: Outcome, over: bool, wait: int, no_slot: bool):
     verdict, = read(end, [ONE])
@@ -119,7 +120,7 @@
         self.cancelled = 0
 
     def call(self, address: Address, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
-             on_body: Callable[[bytes], None] | None = None) -> Links:
+             on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None) -> Links:
         self.calls.append((pieces, done, on_body))
         return self
 
@@ -194,11 +195,11 @@
     group.take(news(1, host("s-1"), whole=True))
     hooks = Hooks(group, links, clock, {"k": 10})  # type: ignore[arg-type]
     assert hooks.describe(1) == ("s-1", "a", 10)
-    hooks.start(1, [ONE], clock.now() + 1_500, lambda verdicts: None)
+    hooks.start(1, [ONE], clock.now() + 1_500, None, lambda verdicts: None)
     head, body = links.calls[0][0]
     assert b"X-Request-Id: a\r\n" in head and b"Idempotency-Key: f00d\r\n" in head
     assert b"X-Deadline: 1.500\r\n" in head and body == b"\x00x"
-    hooks.start(1, [ONE, TWO], clock.now() + 1_500, lambda verdicts: None)
+    hooks.start(1, [ONE, TWO], clock.now() + 1_500, None, lambda verdicts: None)
     head, body = links.calls[1][0]
     assert head.startswith(b"POST /hook/batch ")
     assert json.loads(body) == [{"id": "a", "key": "f00d", "body": "AHg="}, {"id": "b", "body": "eQ=="}]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -100,6 +100,7 @@
         self.expected: dict[int, Fate] = {}
         self.ends: dict[int, Fate] = {}
         self.calls: list[Any] = []
+        self.limited: dict[int, float | None] = {}
 
     def some(self, *states: str) -> list[ServerLink]:
         return [link for link, state in self.state.items() if state in states]
@@ -119,8 +120,8 @@
         self.pipes.pop(link)
         link.connection_lost(None)
 
-    @rule()
-    def call(self) -> None:
+    @rule(begin_by=st.sampled_from([None, None, 300]))
+    def call(self, begin_by: int | None) -> None:
         number = len(self.calls)
 
         def done(end: CallEnd) -> None:
@@ -128,7 +129,9 @@
             self.ends[number] = end.fate
         idle = self.some("idle")
         until = self.clock.now() + 5_000
-        self.calls.append(self.pool.call(AT, [b"GET / HTTP/1.1\r\n\r\n"], until, done))
+        limit = None if begin_by is None else self.clock.now() + begin_by
+        self.calls.append(self.pool.call(AT, [b"GET / HTTP/1.1\r\n\r\n"], until, done, begin_by=limit))
+        self.limited[number] = limit
         link = self.calls[-1].link
         assert (link in idle) == bool(idle), "a warm link is used if there is one"
         self.carries[link] = number
@@ -199,6 +202,12 @@
             self.expected[self.carries[link]] = Fate.BROKEN
         feed(link, b"\x00" * 20_000 if self.state[link] != "reading" else b"\r\nbroken\r\n\r\n")
 
+    @rule()
+    def recalled(self) -> None:
+        for link in self.some("writing", "connecting"):
+            self.expected[self.carries[link]] = Fate.RECALLED
+        self.pool.recall(AT)
+
     @precondition(lambda self: self.some("writing", "waiting", "reading", "connecting"))
     @rule()
     def cancelled(self) -> None:
@@ -210,7 +219,10 @@
     def time_passes(self, ms: int) -> None:
         for link in self.some("writing", "waiting", "reading", "connecting"):
             timers = [t.at for t in self.calls[self.carries[link]].timers]
-            if self.state[link] == "connecting" and min(timers) <= self.clock.now() + ms:
+            limit = self.limited[self.carries[link]]
+            if self.state[link] in ("writing", "connecting") and limit and limit <= self.clock.now() + ms:
+                self.expected[self.carries[link]] = Fate.RECALLED
+            elif self.state[link] == "connecting" and min(timers) <= self.clock.now() + ms:
                 self.expected[self.carries[link]] = Fate.NOT_WRITTEN
             elif timers[0] <= self.clock.now() + ms:
                 written = self.state[link] != "writing"
@@ -374,7 +386,14 @@
     assert not pipe.closed
     feed(link, submit()[30:])
     assert pipe.written == b"+OK\r\n" and pipe.closed and len(desk.taken) == 1
-    idle, idle_pipe = ClientLink(links), Pipe()
-    idle.connection_made(idle_pipe)
+    link.connection_lost(None)
+    used, fresh = (ClientLink(links), Pipe()), (ClientLink(links), Pipe())
+    links.closing = False
+    for client_link, its_pipe in (used, fresh):
+        client_link.connection_made(its_pipe)
+    feed(used[0], b"*1\r\n$4\r\nPING\r\n")
     links.wind_down()
-    assert idle_pipe.closed
+    # A request that crosses with the close is sent again only on a link that has had one before.
+    assert used[1].closed and not fresh[1].closed
+    links.stop_listening()
+    assert fresh[1].closed
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -7,10 +7,12 @@
 from typing import Any
 
 import pytest
+from loguru import logger
 
 from winchspan.clock import SetClock, to_ms, to_ns
 from winchspan.config import ConfigError, load
 from winchspan.deadlines import Deadlines
+from winchspan.logs import MOST, Throttle
 from winchspan.slots import SlotTable
 
 ROOT = Path(__file__).parent.parent
@@ -56,6 +58,18 @@
     assert len(deadlines._heap) <= 1_100
 
 
+def test_the_log_is_bounded_and_says_so():
+    clock, lines = SetClock(), list[str]()
+    sink = logger.add(lambda text: lines.append(str(text)), format="{message}", filter=Throttle(clock))
+    for _ in range(MOST + 50):
+        logger.info("x")
+    assert len(lines) == MOST
+    clock.advance(10_000)
+    logger.info("later")
+    logger.remove(sink)
+    assert lines[-1] == "later (50 lines before this one left out)\n"
+
+
 def test_milliseconds_and_nanoseconds():
     assert to_ns(1.5) == 1_500_000 and to_ms(2_500_000) == 2.5
 
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from winchspan import interface as api
+from winchspan import logs
 from winchspan.clock import Clock, to_ms
 from winchspan.config import Config, ConfigError, load
 from winchspan.courier import Courier
@@ -46,7 +47,7 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self._config, self._loop = config, loop
-        settings = replace(config.settings, ends_are_heard=True)
+        settings = replace(config.settings, ends_are_heard=True, can_recall=True)
         self._clock = Clock()
         self._deadlines = Deadlines(self._clock, loop)
         self._journal = Journal(config.state, config.disk_bytes)
@@ -106,9 +107,7 @@
     except ConfigError as err:
         print(f"winchspan: {err}", file=sys.stderr)
         return 2
-    logger.remove()
-    logger.add(sys.stderr, level=config.log_level, format="{time:HH:mm:ss.SSS} {level} {message}",
-               backtrace=False, diagnose=False)
+    logs.start(config.log_level)
 
     async def serve() -> None:
         await Daemon(config, asyncio.get_running_loop()).run()
--- a/winchspan/adapter.py
+++ b/winchspan/adapter.py
@@ -74,6 +74,8 @@
             return {"Withdraw": me | {"corr": message, "round_no": attempt}}
         case api.SetTimer(after, token):
             return {"Timer": me | {"sleep_for_ns": after, "ctx": token}}
+        case api.Recall():
+            raise ValueError("Recall is not on this wire; its settings do not allow it")
         case api.CloseIdle(endpoint):
             return {"DropConns": me | {"endpoint": endpoint}}
         case api.Subscribe():
--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -258,6 +258,7 @@
             known.gone = known.gone or self.now if row.listing is Listing.GONE else None
             if self.s.listed_rate is not api.ListedRate.NONE:
                 known.limit.stated = row.rating
+        self._recall(e for e in self.endpoints.values() if not e.usable)
         self._forget()
 
     def _inherit(self, d: Destination, e: Endpoint) -> None:
@@ -276,6 +277,15 @@
             e.share = max(x.share, (len(d.queue) + 1) / age)
             self._pace(e)
 
+    def _recall(self, endpoints: Iterable[Endpoint]) -> None:
+        """Take back what still waits for a connection there.
+
+        Guards against calls that were decided in time and go out late: to an endpoint that drains meanwhile,
+        or to a destination that has told to wait. A connection may take as long as its time-out to come up.
+        """
+        if self.s.can_recall:
+            self.actions.extend(api.Recall(e.id) for e in endpoints if e.calls)
+
     def _forget(self) -> None:
         """Drop endpoints off the list for a cold time, and destinations left without any.
 
@@ -548,6 +558,7 @@
                 e.limit.next_at = max(e.limit.next_at, self.now + int(lack / event.limit_rate * SECOND))
         if event.wait_ns:   # a delivered call may tell one too
             e.limit.wait_until = max(e.limit.wait_until, self.now + event.wait_ns)
+            self._recall(x for x in call.dest.endpoints.values() if x.limit is e.limit)
         if call.judged or outcome is Outcome.NOT_SENT:
             return
         call.judged = True
@@ -710,7 +721,7 @@
         if e.idle and e.calls % self.s.calls_per_connection == 0:
             call.idle = now - e.idle.pop()
         e.calls += 1
-        self.actions.extend(api.Send(m.id, e.id, self._until(m, e)) for m in riders)
+        self.actions.extend(api.Send(m.id, e.id, self._until(m, e), self._begin_by(m)) for m in riders)
         if e.ramp is not None and e.doubt is None:
             self._pace(e)
         e.limit.sent.append(now)
@@ -729,6 +740,12 @@
             patience = min(patience, max(m.cls.dedup_ns // 2, m.cls.aim_ns))
         return min(m.deadline, self.now + patience)
 
+    @staticmethod
+    def _begin_by(m: Message) -> int:
+        """When an attempt must be out: a repeat that comes after its window would count as a new message."""
+        keyed = m.ran_at is not None and m.cls.effect is Effect.KEYED
+        return m.ran_at + m.cls.dedup_ns if keyed and m.ran_at is not None else 0
+
     def _suspect_idle(self, call: Call) -> None:
         """Guards against idle connections that die unseen, at a firewall or a restarted peer.
 
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -91,9 +91,12 @@
 class Carrier(Protocol):
     """Carries executions to endpoints."""
 
-    def start(self, endpoint: int, parcels: list[Parcel], until: float,
+    def start(self, endpoint: int, parcels: list[Parcel], until: float, begin_by: float | None,
               done: Callable[[list[Verdict]], None]) -> Cancellable:
-        """Begin a call; `done` gets a verdict for each parcel, later and once."""
+        """Begin a call that must be out by a time; `done` gets a verdict for each parcel, later and once."""
+
+    def recall(self, endpoint: int) -> None:
+        """Take back the calls to an endpoint that have not wholly gone out."""
 
     def close_idle(self, endpoint: int) -> None:
         """Close the idle connections to an endpoint."""
@@ -185,7 +188,7 @@
             if entry.notice is not None:
                 self._over(query)
                 self._announce(query, entry.notice, entry.after_ms)
-        logger.info("recovered {} open messages", len(self._queries))
+        logger.info("recovered {} open messages from {} bytes", len(self._queries), self._journal.found)
 
     def _recovered(self, entry: Entry, left: float, unix: float) -> api.Recovered:
         """What the module must know of a message; an execution that was out may have run."""
@@ -221,13 +224,13 @@
         except Exception:   # guards against a fault in one decision that would end the courier
             logger.exception("the decision module failed on {} events", len(events))
             return
-        sends: dict[int, list[tuple[Query, float]]] = {}
+        sends: dict[int, list[tuple[Query, api.Send]]] = {}
         for action in actions:
             match action:
-                case api.Send(message, endpoint, until):
+                case api.Send(message, endpoint):
                     query = self._query(message)
                     if query is not None:
-                        sends.setdefault(endpoint, []).append((query, to_ms(until)))
+                        sends.setdefault(endpoint, []).append((query, action))
                 case api.Refuse(message, retry_after):
                     self._finish(message, "returned", int(to_ms(retry_after)))
                 case api.Fail(message):
@@ -236,6 +239,8 @@
                     self._cancel(message, attempt)
                 case api.SetTimer(after, token):
                     self._set_timer(now + to_ms(after), token)
+                case api.Recall(endpoint):
+                    self._carrier.recall(endpoint)
                 case api.CloseIdle(endpoint):
                     self._carrier.close_idle(endpoint)
                 case api.Remark(text):
@@ -252,7 +257,7 @@
         self._timers[token] = self._deadlines.add(at, lambda: self._event(api.TimerFired(token)))
 
     # ---- executions --------------------------------------------------------------------------------------
-    def _execute(self, endpoint: int, members: list[tuple[Query, float]], now: float) -> None:
+    def _execute(self, endpoint: int, members: list[tuple[Query, api.Send]], now: float) -> None:
         """Start what goes to one endpoint, as many messages in a call as it takes."""
         name, zone, per_call = self._carrier.describe(endpoint)
         for first in range(0, len(members), per_call):
@@ -271,10 +276,12 @@
                 continue
             # The longest patience of the members: a shorter one is short by its deadline, at which the module
             # ends the message itself.
-            until = max(min(until, query.deadline) for query, until in part)
+            until = max(min(to_ms(send.until_ns), query.deadline) for query, send in part)
+            limits = [to_ms(send.begin_by_ns) for _, send in part if send.begin_by_ns]
             parcels = [Parcel(query.id, query.token, query.body) for query, _ in part]
             execution.call = self._carrier.start(
-                endpoint, parcels, until, lambda verdicts, e=execution: self._returned(e, verdicts))  # type: ignore[misc]
+                endpoint, parcels, until, min(limits, default=None),
+                lambda verdicts, e=execution: self._returned(e, verdicts))   # type: ignore[misc]
 
     def _cancel(self, message: str, attempt: int) -> None:
         """Stop waiting for one attempt; its call is closed once none of its members waits."""
--- a/winchspan/interface.py
+++ b/winchspan/interface.py
@@ -118,6 +118,7 @@
     fall_multiple: float = 1.0
     tip_after_ns: int = 3_000_000_000
     key_rest_ns: int = 0
+    can_recall: bool = False
     ends_are_heard: bool = False   # a `Heard` follows each Refuse and Fail; until then a key's turn is kept
 
     def __post_init__(self) -> None:
@@ -240,11 +241,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt, abandoned at the clock reading `until_ns`."""
+    """Start an attempt, abandoned at the clock reading `until_ns`.
+
+    It must not go out after `begin_by_ns` (0: no such limit); if it has not by then, it ends NOT_SENT.
+    """
 
     message: str
     endpoint: int
     until_ns: int
+    begin_by_ns: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -278,6 +283,13 @@
     token: int
 
 
+@dataclass(slots=True, frozen=True)
+class Recall:
+    """Take back the attempts to an endpoint that have not wholly gone out yet; they end NOT_SENT."""
+
+    endpoint: int
+
+
 @dataclass(slots=True, frozen=True)
 class CloseIdle:
     """Shut the idle connections to an endpoint."""
@@ -304,4 +316,5 @@
     text: str
 
 
-Action: TypeAlias = Send | Refuse | Fail | Cancel | SetTimer | CloseIdle | Subscribe | TellPeers | Remark
+Action: TypeAlias = (Send | Refuse | Fail | Cancel | SetTimer | Recall | CloseIdle | Subscribe | TellPeers
+                     | Remark)
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -80,7 +80,7 @@
         self._next = 1
         self._new.unlink(missing_ok=True)   # a rewriting that the last process did not finish
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        self._size = self._recover()
+        self._size = self.found = self._recover()   # bytes that the life before left
         self._rewrite()
 
     @property
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -67,6 +67,7 @@
         self._transport: asyncio.Transport | None = None
         self._unsent: list[int] = []      # queries whose answer has not wholly reached the system
         self._refused = False
+        self._answered = False            # what crosses with a close is sent again only between requests
         self.handle = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -120,6 +121,7 @@
             answers.append(resp.error(f"ERR Protocol error: {err}"))
             broken = True
         if answers:
+            self._answered = True
             self._unsent.extend(taken)
             transport.writelines(answers)
             if not transport.get_write_buffer_size():
@@ -145,9 +147,10 @@
             logger.exception("a request failed")
             return (resp.error("ERR internal error"),)
 
-    def close_if_idle(self) -> None:
-        """Close, unless part of a request has come."""
-        if self._transport is not None and not len(self._buffer) and not self._parser.begun:
+    def close_if_idle(self, fresh: bool) -> None:
+        """Close, unless part of a request has come; a link that has had none yet only if `fresh`."""
+        idle = not len(self._buffer) and not self._parser.begun
+        if self._transport is not None and idle and (self._answered or fresh):
             self._transport.close()
 
     def abort(self) -> None:
@@ -190,7 +193,7 @@
         """From now on each link is closed once it is idle; clients may still come."""
         self.closing = True
         for link in self._links:
-            link.close_if_idle()
+            link.close_if_idle(fresh=False)
 
     def stop_listening(self) -> None:
         """Accept no more, and close those that came and asked for nothing."""
@@ -198,4 +201,4 @@
             self._server.close()
             self._server = None
         for link in self._links:
-            link.close_if_idle()
+            link.close_if_idle(fresh=True)
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -16,7 +16,8 @@
 from winchspan.net.server_link import Call, CallEnd, Fate, ServerLinks
 
 _FATES = {Fate.NOT_WRITTEN: api.Outcome.CONNECT_FAILED, Fate.BROKEN: api.Outcome.RESET,
-          Fate.TIMED_OUT: api.Outcome.TIMEOUT, Fate.CANCELLED: api.Outcome.CANCELLED}
+          Fate.TIMED_OUT: api.Outcome.TIMEOUT, Fate.CANCELLED: api.Outcome.CANCELLED,
+          Fate.RECALLED: api.Outcome.NOT_SENT}
 _STATES = {"ok": (api.Outcome.DELIVERED, True), "error": (api.Outcome.ERROR, False),
            "later": (api.Outcome.FULL, False), "gone": (api.Outcome.NOT_SENT, True),
            "exhausted": (api.Outcome.NOT_SENT, False)}
@@ -28,7 +29,7 @@
     def __init__(self, group: HostGroup, links: ServerLinks, clock: Clock, kinds: dict[str, int]) -> None:
         self._group, self._links, self._clock, self._kinds = group, links, clock, kinds
 
-    def start(self, endpoint: int, parcels: list[Parcel], until: float,
+    def start(self, endpoint: int, parcels: list[Parcel], until: float, begin_by: float | None,
               done: Callable[[list[Verdict]], None]) -> Call:
         """Begin a call; `done` gets a verdict for each parcel."""
         address = self._group.hosts[endpoint].address
@@ -37,7 +38,12 @@
             pieces = _one(parcels[0], str(address), patience)
         else:
             pieces = _many(parcels, str(address), patience)
-        return self._links.call(address, pieces, until, lambda end: done(read(end, parcels)))
+        return self._links.call(address, pieces, until, lambda end: done(read(end, parcels)),
+                                begin_by=begin_by)
+
+    def recall(self, endpoint: int) -> None:
+        """Take back the calls to an endpoint that have not wholly gone out."""
+        self._links.recall(self._group.hosts[endpoint].address)
 
     def close_idle(self, endpoint: int) -> None:
         """Close the idle links to an endpoint."""
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -28,6 +28,7 @@
     BROKEN = "broken"               # the connection ended after that
     TIMED_OUT = "timed out"
     CANCELLED = "cancelled"
+    RECALLED = "recalled"           # taken back before its last byte was written
 
 
 @dataclass(slots=True)
@@ -67,6 +68,11 @@
         """Stop waiting; the end is told once the connection is closed."""
         self.stop(Fate.CANCELLED)
 
+    def recall(self) -> None:
+        """Take it back, unless it has been written."""
+        if self.link is not None and not self.link.written:
+            self.stop(Fate.RECALLED)
+
     def stop(self, fate: Fate) -> None:
         """Give the call up by closing its connection."""
         if self.done is not None and self.ending is None and self.link is not None:
@@ -94,7 +100,7 @@
         self._buffer = ReceiveBuffer()
         self._transport: asyncio.Transport | None = None
         self._connecting: asyncio.Task[None] | None = None
-        self._written = False
+        self.written = False
         self.closed = False
 
     # ---- life --------------------------------------------------------------------------------------------
@@ -127,9 +133,9 @@
 
     def _write(self) -> None:
         assert self.call is not None and self._transport is not None
-        self._written = False
+        self.written = False
         self._transport.writelines(self.call.pieces)
-        self._written = self._transport.get_write_buffer_size() == 0
+        self.written = self._transport.get_write_buffer_size() == 0
 
     def _close(self) -> None:
         """The connection is over: so is the call on it."""
@@ -142,11 +148,11 @@
         self._pool.gone(self)
         if call is None:
             return
-        if not self._written:
-            fate = Fate.CANCELLED if call.ending is Fate.CANCELLED else Fate.NOT_WRITTEN
+        if not self.written:
+            unsent = call.ending in (Fate.CANCELLED, Fate.RECALLED)
+            call.end(CallEnd(call.ending if call.ending and unsent else Fate.NOT_WRITTEN))
         else:
-            fate = call.ending or Fate.BROKEN
-        call.end(CallEnd(fate))
+            call.end(CallEnd(call.ending or Fate.BROKEN))
 
     # ---- what the loop calls -----------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -165,7 +171,7 @@
 
     def resume_writing(self) -> None:
         """All that was to be written has reached the system."""
-        self._written = True
+        self.written = True
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the loop may put the next bytes."""
@@ -199,7 +205,7 @@
     def _answered(self, call: Call) -> None:
         """The answer is whole: the link is idle again, or closed where it cannot be used further."""
         self.call = None
-        if call.parser.keep_alive and self._written and not len(self._buffer):
+        if call.parser.keep_alive and self.written and not len(self._buffer):
             self._pool.idle(self)
         else:
             self.abort()
@@ -220,10 +226,15 @@
         self._idle: dict[Address, list[ServerLink]] = {}
 
     def call(self, address: Address, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
-             on_body: Callable[[bytes], None] | None = None) -> Call:
-        """Write a request on a warm link, or else on a new one; `done` gets its end."""
+             on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None) -> Call:
+        """Write a request on a warm link, or else on a new one; `done` gets its end.
+
+        What has not been written by `begin_by` is taken back.
+        """
         call = Call(pieces, done, AnswerParser(on_body))
         call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
+        if begin_by is not None:
+            call.timers.append(self._deadlines.add(begin_by, call.recall))
         warm = self._idle.get(address)
         if warm:
             link = warm.pop()
@@ -263,6 +274,12 @@
         for link in self._idle.pop(address, []):
             link.abort()
 
+    def recall(self, address: Address) -> None:
+        """Take back the calls to a server that have not been written."""
+        for link in self._links:
+            if link.address == address and link.call is not None:
+                link.call.recall()
+
     def retire_oldest(self) -> bool:
         """Close the link that has been idle longest; False if none is idle."""
         oldest = [links[0] for links in self._idle.values() if links]
