--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -268,6 +268,7 @@
                 query.attempts += 1
                 query.execution = execution
             self._out += 1
+            logger.debug("to {}: {}", name, [(query.id, query.attempts) for query, _ in part])
             numbers = [query.number for query, _ in part]
             if not self._journal.started(numbers, name, zone, self._clock.unix()):
                 # Without a record a restart would not know that it may have run: it does not go.
@@ -299,6 +300,8 @@
         back: dict[bool, list[int]] = {}
         ended: list[int] = []
         latency = to_ns(self._clock.now() - execution.started)
+        logger.debug("back from {} after {} ms: {}", self._carrier.describe(execution.endpoint)[0],
+                     latency // 1_000_000, [verdict.outcome.value for verdict in verdicts])
         for (handle, attempt), verdict in zip(execution.members, verdicts, strict=True):
             query = self._queries.get(handle)
             if query is None:
--- a/winchspan/logs.py
+++ b/winchspan/logs.py
@@ -22,23 +22,24 @@
     Guards against a log that grows without bound, or takes the core, when a peer misbehaves.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
+    def __init__(self, clock: Clock, most: int = MOST) -> None:
+        self._clock, self._most = clock, most
         self._since = clock.now()
         self._lines = 0
 
     def __call__(self, record: Record) -> bool:
         """Whether the line is written."""
         if self._clock.now() - self._since >= SPAN:
-            if self._lines > MOST:
-                record["message"] += f" ({self._lines - MOST} lines before this one left out)"
+            if self._lines > self._most:
+                record["message"] += f" ({self._lines - self._most} lines before this one left out)"
             self._since, self._lines = self._clock.now(), 0
         self._lines += 1
-        return self._lines <= MOST
+        return self._lines <= self._most
 
 
 def start(level: str) -> None:
     """Write lines of this level and above."""
+    most = 100 * MOST if level == "DEBUG" else MOST
     logger.remove()
     logger.add(sys.stderr, level=level, format="{time:HH:mm:ss.SSS} {level} {message}",
-               filter=Throttle(Clock()), backtrace=False, diagnose=False)
+               filter=Throttle(Clock(), most), backtrace=False, diagnose=False)
