Accept clients one at a time, so that the socket limit cannot end a connection unanswered

Seen: with 64 descriptors and 150 connections at once asyncio's server accepted its whole backlog, ran out of descriptors (EMFILE), and accepted nobody for a second; most clients were refused. Its retry also failed on the closed socket while stopping. Checked with a small probe; ruled out: leaked links (10 descriptors afterwards).

At fault: create_server's accept loop and our refusal after the fact. Now each connection is accepted only when there is a socket for it; the link unused for longest makes room, others wait in the backlog.

--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -28,7 +28,7 @@
 OWN_FILES = 16            # descriptors beside links: streams, the loop, the journal, the listening socket
 LISTEN_ON = 700.0         # after SIGTERM, clients still come for 0.4 s
 START_UNTIL = 2_600.0     # after SIGTERM, new executions start; the platform kills no sooner than 3.7 s
-RUN_UNTIL = 3_400.0       # and this long what is out may still come back
+RUN_UNTIL = 3_300.0       # and this long what is out may still come back
 
 
 class Announcements:
@@ -73,7 +73,7 @@
                 logger.error("known: {}", err)
         self._courier.recover()
         self._watch.open()
-        await self._clients.listen(self._loop, self._config.listen.host, self._config.listen.port)
+        self._clients.listen(self._loop, self._config.listen.host, self._config.listen.port)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop)
         logger.info("{} listens on {}", self._config.name, self._config.listen)
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import socket
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,6 +19,8 @@
 _ID = re.compile(rb"[0-9A-Za-z_-]{1,64}")
 _KEY = re.compile(rb"[0-9a-fA-F]{1,32}")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
+BACKLOG = 512
+RETRY_S = 0.1             # after the system has refused to accept
 
 
 class Intake(Protocol):
@@ -66,24 +69,19 @@
         self._parser = resp.RequestParser()
         self._transport: asyncio.Transport | None = None
         self._unsent: list[int] = []      # queries whose answer has not wholly reached the system
-        self._refused = False
         self._answered = False            # what crosses with a close is sent again only between requests
         self.handle = 0
+        self.used = 0                     # when it was last used, in requests of all clients
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
-        if not self._links.opened(self):
-            self._refused = True
-            transport.write(resp.error("BUSY"))
-            transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; what it has not been told is withdrawn."""
-        if not self._refused:
-            self._links.gone(self)
+        self._links.gone(self)
         for handle in self._unsent:
             self._links.intake.withdraw(handle)
         self._unsent.clear()
@@ -121,7 +119,7 @@
             answers.append(resp.error(f"ERR Protocol error: {err}"))
             broken = True
         if answers:
-            self._answered = True
+            self._answered, self.used = True, self._links.used()
             self._unsent.extend(taken)
             transport.writelines(answers)
             if not transport.get_write_buffer_size():
@@ -147,16 +145,15 @@
             logger.exception("a request failed")
             return (resp.error("ERR internal error"),)
 
-    def close_if_idle(self, fresh: bool) -> None:
-        """Close, unless part of a request has come; a link that has had none yet only if `fresh`."""
-        idle = not len(self._buffer) and not self._parser.begun
-        if self._transport is not None and idle and (self._answered or fresh):
-            self._transport.close()
+    def may_close(self, fresh: bool) -> bool:
+        """Whether no part of a request has come; a link that has had none at all counts only if `fresh`."""
+        idle = self._transport is not None and not len(self._buffer) and not self._parser.begun
+        return idle and (self._answered or fresh)
 
-    def abort(self) -> None:
-        """Close at once."""
+    def close(self) -> None:
+        """Close once all answers have left."""
         if self._transport is not None:
-            self._transport.abort()
+            self._transport.close()
 
 
 class ClientLinks:
@@ -168,37 +165,104 @@
         self.closing = False
         self._budget, self._most, self._make_room = budget, most, make_room
         self._links: SlotTable[ClientLink] = SlotTable()
-        self._server: asyncio.Server | None = None
+        self._requests = 0
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._socket: socket.socket | None = None
+        self._accepting = False
+        self._tasks: set[asyncio.Task[object]] = set()
 
-    async def listen(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
+    def listen(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
         """Accept clients at an address; returns the port."""
-        self._server = await loop.create_server(lambda: ClientLink(self), host, port, backlog=512)
-        self._budget.open += 1
-        return int(self._server.sockets[0].getsockname()[1])
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket, self._loop = socket.create_server((host, port), family=family, backlog=BACKLOG), loop
+        self._socket.setblocking(False)
+        self._resume()
+        return int(self._socket.getsockname()[1])
+
+    def _resume(self) -> None:
+        if self._loop is not None and self._socket is not None and not self._accepting:
+            self._accepting = True
+            self._loop.add_reader(self._socket, self._accept)
 
-    def opened(self, link: ClientLink) -> bool:
-        """Count a client in; False if there is no room for it."""
-        if len(self._links) >= self._most or (self._budget.spare() < 1 and not self._make_room()):
-            return False
+    def _pause(self) -> None:
+        if self._loop is not None and self._socket is not None and self._accepting:
+            self._accepting = False
+            self._loop.remove_reader(self._socket)
+
+    def _accept(self) -> None:
+        """Accept the first that waits, if there is a socket for it.
+
+        asyncio's own server accepts the whole backlog before it looks at one connection: near the limit it
+        runs out of descriptors and then accepts nobody for a second. Here the rest waits in the backlog: a
+        client whose connection ends without an answer has lost its message.
+        """
+        assert self._socket is not None and self._loop is not None
+        if not self._room():
+            self._pause()              # until a link is gone or has become unused
+            return
+        try:
+            client, _ = self._socket.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return
+        except OSError as err:
+            logger.error("client links: cannot accept: {}", err)
+            self._pause()
+            self._loop.call_later(RETRY_S, self._resume)
+            return
+        client.setblocking(False)
+        link = ClientLink(self)
+        self.opened(link)
+        task = self._loop.create_task(self._adopt(self._loop, link, client))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _adopt(self, loop: asyncio.AbstractEventLoop, link: ClientLink, client: socket.socket) -> None:
+        try:
+            await loop.connect_accepted_socket(lambda: link, client)
+        except OSError as err:
+            logger.warning("client link: {}", err)
+            self.gone(link)
+
+    def _room(self) -> bool:
+        """Whether one more may be accepted; if not, the link unused for longest makes room, where one may."""
+        if len(self._links) < self._most and (self._budget.spare() > 0 or self._make_room()):
+            return True
+        unused = [link for link in self._links if link.may_close(fresh=False)]
+        if unused:
+            min(unused, key=lambda link: link.used).close()
+        return False
+
+    def opened(self, link: ClientLink) -> None:
+        """Count a client in."""
         link.handle = self._links.add(link)
         self._budget.open += 1
-        return True
 
     def gone(self, link: ClientLink) -> None:
-        """A client has gone."""
+        """A client has gone; there is room again."""
         if self._links.remove(link.handle) is not None:
             self._budget.open -= 1
+            self._resume()
+
+    def used(self) -> int:
+        """A number that grows with each request of any client."""
+        self._requests += 1
+        self._resume()                 # the link that was used may make room now
+        return self._requests
 
     def wind_down(self) -> None:
         """From now on each link is closed once it is idle; clients may still come."""
         self.closing = True
-        for link in self._links:
-            link.close_if_idle(fresh=False)
+        self._close_idle(fresh=False)
 
     def stop_listening(self) -> None:
         """Accept no more, and close those that came and asked for nothing."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        if self._socket is not None:
+            self._pause()
+            self._socket.close()
+            self._socket = None
+        self._close_idle(fresh=True)
+
+    def _close_idle(self, fresh: bool) -> None:
         for link in self._links:
-            link.close_if_idle(fresh=True)
+            if link.may_close(fresh):
+                link.close()
