Read the list entry by entry: one that cannot be read must not hide another's drain

Found in review: a removed endpoint listed without its address, or one odd entry, made the whole line unreadable, and with it the drains beside it. Entries are now read one by one, and a removed one needs only its name and block.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -33,7 +33,7 @@
 
     def targets(self) -> bytes:
         """The list: this server is the only endpoint."""
-        host, port = self.server.server_address[:2]
+        host, port = self.connection.getsockname()[:2]
         entry = {"host": "s-toy", "dial": f"{host}:{port}", "site": "toy", "class": "large-host", "block": 7,
                  "health": "up", "share": 50.0, "born_ms": 0}
         return json.dumps({"seq": 1, "whole": True, "hosts": [entry]}).encode()
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -71,11 +71,11 @@
                 self._group.take(self._config.known, api.Scope.STALE)
             except FieldError as err:
                 logger.error("known: {}", err)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stop)
         self._courier.recover()
         self._watch.open()
         self._clients.listen(self._loop, self._config.listen.host, self._config.listen.port)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._stop)
         logger.info("{} listens on {}", self._config.name, self._config.listen)
         await self._done.wait()
         self._journal.close()
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from loguru import logger
@@ -52,15 +52,22 @@
         self._on_list, self._on_leave = on_list, on_leave
 
     def take(self, news: Mapping[str, Any], scope: api.Scope | None = None) -> None:
-        """Take one list or change; raises FieldError, and then nothing of it counts."""
+        """Take one list or change; raises FieldError if it cannot be read at all.
+
+        An entry that cannot be read is passed over: it must not hide the drain of another.
+        """
         data = dict(news)
         seq, complete = whole(data, "seq"), field(data, "whole", bool, False)
-        hosts = [self._host(row) for row in array(data, "hosts")]
+        hosts = []
+        for row in array(data, "hosts"):
+            try:
+                hosts.append(self._host(row))
+            except FieldError as err:
+                logger.warning("host group: passed over an entry: {}", err)
         if seq < self.seq or (seq == self.seq and not complete):
             return                    # stale: the list held is newer
         self.seq = seq
         for host in hosts:
-            self._numbers[host.name, host.dest] = host.number
             before = self.hosts.get(host.number)
             self.hosts[host.number] = host
             if before is not None and before.address != host.address:
@@ -75,15 +82,17 @@
         if not isinstance(row, dict):
             raise FieldError(f"hosts: an entry must be an object, not {row!r:.60}")
         name, dest = field(row, "host", str), whole(row, "block")
+        listing = word(_LISTINGS, row.get("health", "up"), "health")
+        known = self.hosts.get(self._numbers.get((name, dest), 0))
+        if known is not None and listing is api.Listing.GONE:
+            return replace(known, listing=listing)       # whatever else is said of it, or is not
         try:
             address = parse_address(field(row, "dial", str), "dial")
         except ConfigError as err:
             raise FieldError(str(err)) from None
-        known = self._numbers.get((name, dest))
-        if known is None:
-            known = self._numbers[name, dest] = len(self._numbers) + 1
-        return Host(known, name, address, dest, field(row, "site", str, ""), field(row, "class", str, ""),
-                    word(_LISTINGS, row.get("health", "up"), "health"), number(row, "share", 1.0))
+        mine = self._numbers.setdefault((name, dest), len(self._numbers) + 1)
+        return Host(mine, name, address, dest, field(row, "site", str, ""), field(row, "class", str, ""),
+                    listing, number(row, "share", 1.0))
 
 
 class Watch:
