Gather events up to a step of the settings, so that a clump's messages share a call

At fault: Courier._event, a turn at the next pass of the loop. Now a turn at the next whole step; a list still at once.

--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -1,7 +1,7 @@
 """Queries and executions: what drives the decision module, whatever protocols stand before and behind it.
 
 A query is a message taken on; an execution is one attempt to deliver some of them in one call. What happens
-is written to the journal and gathered as events; once in a turn of the loop the module takes them, and its
+is written to the journal and gathered as events; once in a step of the settings the module takes them, and its
 actions are carried out. Nothing is judged here.
 """
 
@@ -206,16 +206,20 @@
 
     # ---- turns -------------------------------------------------------------------------------------------
     def _event(self, event: api.Event) -> None:
-        """Gather an event; all that one pass of the loop brings are handled together."""
+        """Gather an event; all that comes within a step of the settings is handled together."""
         self._events.append(event)
-        if not self._turn_due:
-            self._turn_due = True
+        if isinstance(event, api.EndpointList):       # a drain binds at once
             self._soon(self._turn)
+        elif not self._turn_due:
+            self._turn_due = True
+            step = to_ms(self._settings.step_ns)
+            now = self._clock.now()
+            self._deadlines.add((now // step + 1) * step, self._turn)
 
     def _turn(self) -> None:
         """Let the module decide, and carry out what it says."""
         self._turn_due = False
-        if self._frozen:
+        if self._frozen or not self._events:
             return
         events, self._events = self._events, []
         now = self._clock.now()
