--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -1,8 +1,8 @@
 """Queries and executions: what drives the decision module, whatever protocols stand before and behind it.
 
 A query is a message taken on; an execution is one attempt to deliver some of them in one call. What happens
-is written to the journal and gathered as events; once in a step of the settings the module takes them, and its
-actions are carried out. Nothing is judged here.
+is written to the journal and gathered as events; once in a step of the settings the module takes them, and
+its actions are carried out. Nothing is judged here.
 """
 
 from __future__ import annotations
