Forget endpoints long off the list, and leave more sockets to clients

Found in review: the host group kept every endpoint ever named. It now keeps the last 1,000 that left; their numbers are not used again. Of the socket limit, twice the slots were kept back for server links, which with 64 sockets left 6 to clients; one link for each slot is enough, as idle ones are retired first.

--- a/tests/test_hooks.py
+++ b/tests/test_hooks.py
@@ -126,6 +126,18 @@
     assert group.hosts[1].name == "s-8"
 
 
+def test_endpoints_long_off_the_list_are_forgotten_and_their_numbers_not_used_again():
+    group = HostGroup(lambda news: None)
+    for i in range(1_200):
+        group.take(news(i, host(f"s-{i}"), whole=True))
+    assert len(group.hosts) <= 1_001 and max(group.hosts) == 1_200 and group.hosts[1_200].name == "s-1199"
+    assert [h.listing for h in group.hosts.values()].count(api.Listing.IN_SERVICE) == 1
+    hooks = Hooks(group, Links(), SetClock(), {})  # type: ignore[arg-type]
+    hooks.close_idle(1)
+    hooks.recall(1)
+    assert hooks.describe(1) == ("?", "", 1)
+
+
 class Links:
     """Stands for the pool: keeps what was called."""
 
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -60,7 +60,7 @@
         self._courier = Courier(settings, config.seed, self._clock, self._deadlines, self._journal, hooks,
                                 Announcements(self._notices), loop.call_soon)
         self._watch = Watch(self._group, links, self._deadlines, config.discovery)
-        most = max(1, budget.limit - 2 * settings.slots - 4)
+        most = max(budget.limit // 2, budget.limit - settings.slots - 4)   # the rest is for server links
         self._clients = ClientLinks(self._courier, budget, most, links.retire_oldest)
         self._done = asyncio.Event()
 
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -43,16 +43,18 @@
 
     def recall(self, endpoint: int) -> None:
         """Take back the calls to an endpoint that have not wholly gone out."""
-        self._links.recall(self._group.hosts[endpoint].address)
+        if host := self._group.hosts.get(endpoint):
+            self._links.recall(host.address)
 
     def close_idle(self, endpoint: int) -> None:
-        """Close the idle links to an endpoint."""
-        self._links.close_idle(self._group.hosts[endpoint].address)
+        """Close the idle links to an endpoint, unless it has long been off the list."""
+        if host := self._group.hosts.get(endpoint):
+            self._links.close_idle(host.address)
 
     def describe(self, endpoint: int) -> tuple[str, str, int]:
         """Name and zone of an endpoint, and how many messages a call to it may hold."""
-        host = self._group.hosts[endpoint]
-        return host.name, host.zone, self._kinds.get(host.kind, 1)
+        host = self._group.hosts.get(endpoint)
+        return (host.name, host.zone, self._kinds.get(host.kind, 1)) if host else ("?", "", 1)
 
 
 def _one(parcel: Parcel, host: str, patience: float) -> list[bytes]:
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
+from itertools import count
 from typing import Any
 
 from loguru import logger
@@ -19,6 +20,7 @@
 SILENCE = 3_000.0         # an empty line comes every 2 s while the watch lives
 AGAIN = 200.0             # between two watches
 _MAX_LINE = 1024 * 1024
+_GONE_KEPT = 1_000        # endpoints off the list that are remembered: calls to them may still be out
 _FOREVER = 1e15
 _LISTINGS = {"up": api.Listing.IN_SERVICE, "draining": api.Listing.DRAINING, "removed": api.Listing.GONE}
 
@@ -49,6 +51,7 @@
         self.seq = -1
         self.hosts: dict[int, Host] = {}
         self._numbers: dict[tuple[str, int], int] = {}
+        self._next = count(1)
         self._on_list, self._on_leave = on_list, on_leave
 
     def take(self, news: Mapping[str, Any], scope: api.Scope | None = None) -> None:
@@ -67,6 +70,10 @@
         if seq < self.seq or (seq == self.seq and not complete):
             return                    # stale: the list held is newer
         self.seq = seq
+        if complete:
+            named = {host.number for host in hosts}
+            for host in [host for host in self.hosts.values() if host.number not in named]:
+                self.hosts[host.number] = replace(host, listing=api.Listing.GONE)
         for host in hosts:
             before = self.hosts.get(host.number)
             self.hosts[host.number] = host
@@ -74,9 +81,17 @@
                 self._on_leave(before.address)
             if host.listing is not api.Listing.IN_SERVICE:
                 self._on_leave(host.address)
+        self._forget()
         scope = scope or (api.Scope.WHOLE if complete else api.Scope.CHANGES)
         self._on_list(api.EndpointList(scope, tuple(host.row() for host in hosts)))
 
+    def _forget(self) -> None:
+        """Of those off the list drop the first known; guards against a table that grows without end."""
+        gone = [host for host in self.hosts.values() if host.listing is api.Listing.GONE]
+        for host in gone[:max(0, len(gone) - _GONE_KEPT)]:
+            del self.hosts[host.number]
+            del self._numbers[host.name, host.dest]
+
     def _host(self, row: object) -> Host:
         """Read one entry."""
         if not isinstance(row, dict):
@@ -90,7 +105,8 @@
             address = parse_address(field(row, "dial", str), "dial")
         except ConfigError as err:
             raise FieldError(str(err)) from None
-        mine = self._numbers.setdefault((name, dest), len(self._numbers) + 1)
+        mine = self._numbers.get((name, dest)) or next(self._next)
+        self._numbers[name, dest] = mine
         return Host(mine, name, address, dest, field(row, "site", str, ""), field(row, "class", str, ""),
                     listing, number(row, "share", 1.0))
 
--- a/winchspan/net/http.py
+++ b/winchspan/net/http.py
@@ -105,12 +105,17 @@
         if len(self.body) > MAX_BODY:
             raise HttpError("the body is too long")
 
-    def _sized(self, buffer: bytearray, start: int, end: int) -> int | None:
+    def _part(self, buffer: bytearray, start: int, end: int) -> int | None:
+        """Pass on what has come of a piece whose length is known."""
         stop = min(end, start + self._left)
         if stop == start:
             return None
         self._keep(buffer, start, stop)
         self._left -= stop - start
+        return stop
+
+    def _sized(self, buffer: bytearray, start: int, end: int) -> int | None:
+        stop = self._part(buffer, start, end)
         self.done = not self._left
         return stop
 
@@ -143,12 +148,7 @@
                 raise HttpError("a chunk does not end where it should")
             self._step = self._chunk_size
             return start + 2
-        stop = min(end, start + self._left)
-        if stop == start:
-            return None
-        self._keep(buffer, start, stop)
-        self._left -= stop - start
-        return stop
+        return self._part(buffer, start, end)
 
     def _trailer(self, buffer: bytearray, start: int, end: int) -> int | None:
         stop = buffer.find(b"\r\n", start, min(end, start + MAX_HEAD))
