Take NaN, infinities and endless nesting for broken input, not for a fault of ours

Found in review: json.loads lets NaN and Infinity through and raises RecursionError on deep nesting; whole() then raised OverflowError out of the watch, and a NaN share would have reached the module. Outside JSON is now read in one place, numbers must be finite, and what nothing catches is one bounded log line.

--- a/tests/test_hooks.py
+++ b/tests/test_hooks.py
@@ -69,13 +69,14 @@
     assert {v.wait_ms for v in verdicts} == {40.0}
 
 
-@pytest.mark.parametrize("body", ["", "{", "[1]", '[{"id":"a"}]', '{"id":"a","state":"ok"}', "null", "[]"])
+@pytest.mark.parametrize("body", [
+    "", "{", "[" * 100_000, "[1]", '[{"id":"a"}]', '{"id":"a","state":"ok"}', "null", "[]"])
 def test_an_end_that_is_not_told_may_have_run(body: str):
     assert [v.outcome for v in read(http(200, body=body), [ONE, TWO])] == [Outcome.ERROR] * 2
 
 
 def test_reports_are_read_where_they_come():
-    verdict, = read(http(200, "X-Load: x0=0.4,x1=25,zz,x2=a"), [ONE])
+    verdict, = read(http(200, "X-Load: x0=0.4,x1=25,zz,x2=a,x0=nan,x1=-1"), [ONE])
     assert (verdict.limit_left, verdict.limit_rate) == (0.4, 25.0)
 
 
@@ -114,7 +115,8 @@
     assert not got and group.seq == -1
 
 
-@pytest.mark.parametrize("bad", [1, {"host": "a"}, host(dial="x"), host(health="x"), host(share="x")])
+@pytest.mark.parametrize("bad", [1, {"host": "a"}, host(dial="x"), host(health="x"), host(share="x"),
+                                 host(share=float("nan")), host(block=float("inf"))])
 def test_an_entry_that_cannot_be_read_does_not_hide_the_drain_of_another(bad: Any):
     got: list[api.EndpointList] = []
     group = HostGroup(got.append)
@@ -184,11 +186,13 @@
     assert links.cancelled == 2 and len(links.calls) == 3 and len(got) == 1
 
 
-def test_an_unreadable_line_asks_for_the_whole_list():
+@pytest.mark.parametrize("line", [b"{nonsense\n", b"[1]\n", b"[" * 100_000 + b"\n", b"\xff\xfe\n",
+                                  b'{"seq":NaN,"hosts":[]}\n', b'{"seq":1e999,"hosts":[]}\n'])
+def test_an_unreadable_line_asks_for_the_whole_list(line: bytes):
     clock, deadlines, links, _ = watch()
     body = links.calls[0][2]
     assert body is not None
-    body(b"{nonsense\n")
+    body(line)
     clock.advance(1_000)
     deadlines.run_due()
     assert b"since" not in links.calls[1][0][0]
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -70,6 +70,15 @@
         parse([raw])
 
 
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=60), st.sampled_from([b"", b"HTTP/1.1 200 OK\r\n", CHUNKED[:49]]))
+def test_any_bytes_give_an_answer_or_an_error(raw: bytes, before: bytes):
+    try:
+        parse([before, *(bytes([byte]) for byte in raw)])
+    except HttpError:
+        return
+
+
 def test_a_request_is_a_head_and_its_body():
     head, body = request("POST", "/hook", "h:1", [("X-A", "b")], b"\x00body")
     assert head == b"POST /hook HTTP/1.1\r\nHost: h:1\r\nX-A: b\r\nContent-Length: 5\r\n\r\n"
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from loguru import logger
 
@@ -42,6 +43,11 @@
         self._notices.add(Notice(message, state, after_ms, heard))
 
 
+def _log_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """A fault that nothing caught: it ends a link at most, and is a bounded log line like any other."""
+    logger.error("{}: {!r}", context.get("message"), context.get("exception"))
+
+
 class Daemon:
     """All parts of one courier."""
 
@@ -71,6 +77,7 @@
                 self._group.take(self._config.known, api.Scope.STALE)
             except FieldError as err:
                 logger.error("known: {}", err)
+        self._loop.set_exception_handler(_log_fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop)
         self._courier.recover()
--- a/winchspan/config.py
+++ b/winchspan/config.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from winchspan import interface as api
-from winchspan.settings import FieldError, field, number, settings_from_wire, table, whole
+from winchspan.settings import FieldError, field, number, read_json, settings_from_wire, table, whole
 
 LEAST_SOCKETS = 32
 
@@ -60,11 +59,11 @@
 def _read(path: str) -> dict[str, Any]:
     """Read the file."""
     try:
-        data = json.loads(Path(path).read_bytes())
+        data = read_json(Path(path).read_bytes())
     except OSError as err:
         raise ConfigError(f"ROUTER_CONFIG: cannot read {path}: {err.strerror}") from None
-    except ValueError as err:
-        raise ConfigError(f"ROUTER_CONFIG: {path} is not JSON: {err}") from None
+    except FieldError as err:
+        raise ConfigError(f"ROUTER_CONFIG: {path}: {err}") from None
     if not isinstance(data, dict):
         raise ConfigError(f"ROUTER_CONFIG: {path} must hold an object")
     return data
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -14,6 +14,7 @@
 from winchspan.net import http
 from winchspan.net.host_group import HostGroup
 from winchspan.net.server_link import Call, CallEnd, Fate, ServerLinks
+from winchspan.settings import FieldError, read_json
 
 _FATES = {Fate.NOT_WRITTEN: api.Outcome.CONNECT_FAILED, Fate.BROKEN: api.Outcome.RESET,
           Fate.TIMED_OUT: api.Outcome.TIMEOUT, Fate.CANCELLED: api.Outcome.CANCELLED,
@@ -105,9 +106,9 @@
     """The ends of several messages; one that is not told may have run."""
     states: dict[object, object] = {}
     try:
-        for row in json.loads(body):
+        for row in read_json(body):
             states[row["id"]] = row["state"]
-    except (ValueError, TypeError, KeyError) as err:
+    except (FieldError, TypeError, KeyError) as err:
         logger.warning("the answer to several messages cannot be read: {!r:.100}", err)
     verdicts = []
     for parcel in parcels:
@@ -131,7 +132,9 @@
     for item in text.split(",") if text else ():
         name, _, value = item.partition("=")
         try:
-            values[name.strip()] = float(value)
+            number = float(value)
         except ValueError:
             continue
+        if 0.0 <= number < 1e9:      # not NaN either
+            values[name.strip()] = number
     return values.get("x0"), values.get("x1")
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from itertools import count
@@ -15,7 +14,7 @@
 from winchspan.deadlines import Deadline, Deadlines
 from winchspan.net import http
 from winchspan.net.server_link import Call, CallEnd, ServerLinks
-from winchspan.settings import FieldError, array, field, number, whole, word
+from winchspan.settings import FieldError, array, field, number, read_json, whole, word
 
 SILENCE = 3_000.0         # an empty line comes every 2 s while the watch lives
 AGAIN = 200.0             # between two watches
@@ -108,7 +107,7 @@
         mine = self._numbers.get((name, dest)) or next(self._next)
         self._numbers[name, dest] = mine
         return Host(mine, name, address, dest, field(row, "site", str, ""), field(row, "class", str, ""),
-                    listing, number(row, "share", 1.0))
+                    listing, max(0.0, number(row, "share", 1.0)))
 
 
 class Watch:
@@ -155,12 +154,12 @@
 
     def _news(self, line: bytes) -> None:
         try:
-            news = json.loads(line)
+            news = read_json(line)
             if not isinstance(news, dict):
                 raise FieldError("a line must hold an object")
             self._group.take(news)
             self._fresh = False
-        except (ValueError, FieldError) as err:
+        except FieldError as err:
             logger.warning("host group: unreadable news: {}", err)
             self._again_whole()
 
--- a/winchspan/settings.py
+++ b/winchspan/settings.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any, TypeVar
 
 from winchspan import interface as api
 
 _T = TypeVar("_T")
+LARGEST = 1e300
 _EFFECTS = {"repeatable": api.Effect.REPEATABLE, "by_key": api.Effect.KEYED, "once": api.Effect.ONCE}
 _RATES = {"nominal": api.ListedRate.EXACT, "rough": api.ListedRate.ROUGH}
 
@@ -15,6 +17,14 @@
     """A field is missing or has the wrong type or value; the message names it."""
 
 
+def read_json(data: bytes | str) -> Any:
+    """Read JSON from outside; whatever is wrong with it is a FieldError, nesting without end included."""
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as err:
+        raise FieldError(f"not JSON: {err}") from None
+
+
 def field(obj: dict[str, Any], name: str, types: type[_T] | tuple[type[_T], ...],
           default: _T | None = None) -> _T:
     """Return a field of the right type, or its default when it is absent."""
@@ -31,14 +41,17 @@
 def whole(obj: dict[str, Any], name: str, default: int | None = None) -> int:
     """Return a whole number."""
     value = field(obj, name, (int, float), default)
-    if value != int(value):
+    if isinstance(value, float) and not value.is_integer():   # neither are NaN and the infinities
         raise FieldError(f"field {name!r} is no whole number: {value!r}")
     return int(value)
 
 
 def number(obj: dict[str, Any], name: str, default: float | None = None) -> float:
     """Return a number."""
-    return float(field(obj, name, (int, float), default))
+    value = field(obj, name, (int, float), default)
+    if not abs(value) < LARGEST:   # guards against NaN and infinities, which JSON readers let through
+        raise FieldError(f"field {name!r} is out of range: {value!r:.60}")
+    return float(value)
 
 
 def word(words: dict[Any, _T], value: Any, name: str) -> _T:
