A request asked twice cannot be withdrawn by its second asker

Found in review: the second SUBMIT of an open id got the first one's handle, and a link that then ended before its answer left would have withdrawn a message whose first client had its +OK.

--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -112,6 +112,7 @@
         """Send a notice until it is answered; `heard` is called then."""
 
 
+NO_QUERY = -1             # a handle that no query has
 MAY_HAVE_RUN = {api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED}
 
 
@@ -146,11 +147,14 @@
 
     def take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
              body: bytes) -> int:
-        """Take a message on and return its query's handle; raises Busy or BadRequest."""
+        """Take a message on and return its query's handle; raises Busy or BadRequest.
+
+        A message that is taken on already has its handle elsewhere: whoever asks again cannot withdraw it.
+        """
         if cls not in self._settings.classes:
             raise BadRequest(f"unknown class {cls!r:.60}")
-        if (known := self._by_id.get(message)) is not None:
-            return known                  # the same request once more: it is taken on already
+        if message in self._by_id:
+            return NO_QUERY               # the same request once more: it is taken on already
         retry_after = to_ms(self._settings.max_retry_after_ns)
         if self._held >= self._settings.max_held:
             raise Busy(retry_after)
