--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -134,7 +134,7 @@
 def test_the_same_request_once_more_is_one_message(tmp_path: Path):
     world = World(tmp_path)
     world.put("a")
-    world.courier.withdraw(world.put("a"))        # the second asker goes: the first has its answer all the same
+    world.courier.withdraw(world.put("a"))        # the second asker goes; the first has its answer
     world.run()
     assert world.ids() == [["a"]] and world.open() == ["a"] and not world.out.sent[0].cancelled
 
