SIGHUP moves the watch and the notices to the new discovery instead of ending the process

The variable ROUTER_DISCOVERY also overrode the file for good, so a new reading alone would have moved nothing. At fault: __main__.py (no handler), config.load (the variable always wins), Watch and Notices (address fixed). Also: a port of thousands of digits and an infinite per_call raised past the checks that name the faulty key. Checked: a broken file leaves the old configuration with one line; a watch between two openings moves too.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -30,11 +30,13 @@
     answered: list[str]
     begun: list[str]
     ended: list[str]
+    told_at: list[int]        # the port at which each notice came
     open: threading.Event
 
     def do_POST(self) -> None:
         body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
         if self.path == "/v1/notices":
+            self.told_at.append(self.server.server_address[1])
             self.ended.extend(json.loads(line)["id"] for line in body.splitlines())
             return self.answer(204)
         ids = [item["id"] for item in json.loads(body)] if self.path == "/hook/batch" else \
@@ -46,13 +48,19 @@
         return self.answer(200, states if self.path == "/hook/batch" else b"")
 
 
-@pytest.fixture
-def partner() -> Iterator[ThreadingHTTPServer]:
-    Partner.answered, Partner.begun, Partner.ended, Partner.open = [], [], [], threading.Event()
+def serve() -> ThreadingHTTPServer:
     server = ThreadingHTTPServer(("127.0.0.1", 0), Partner)
     server.daemon_threads = True
     server.handle_error = lambda *args: None  # type: ignore[method-assign]
     threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+@pytest.fixture
+def partner() -> Iterator[ThreadingHTTPServer]:
+    Partner.answered, Partner.begun, Partner.ended, Partner.open = [], [], [], threading.Event()
+    Partner.told_at = []
+    server = serve()
     yield server
     Partner.open.set()
     server.shutdown()
@@ -140,3 +148,30 @@
     done = subprocess.run([sys.executable, "-m", "winchspan"], cwd=ROOT, capture_output=True, text=True,
                           env=os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json")}, check=False)
     assert done.returncode != 0 and "discovery" in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_sighup_moves_to_the_new_discovery_and_a_file_that_cannot_be_used_changes_nothing(
+        tmp_path: Path, partner: ThreadingHTTPServer):
+    """SIGHUP had no handler and ended the process."""
+    Partner.open.set()
+    port, other, path = free_port(), serve(), tmp_path / "config.json"
+    courier = start(tmp_path, port, partner.server_port)
+    try:
+        data = json.loads(path.read_text())
+        path.write_text("{")
+        courier.send_signal(signal.SIGHUP)
+        wait_for("one log line", lambda: b"old configuration goes on" in (tmp_path / "log").read_bytes())
+        assert ask(port, request("gallery-notice", "99", "nobody there", patience_ms=100)) == b"+OK\r\n"
+        wait_for("a notice at the old address", lambda: Partner.told_at)
+        assert Partner.told_at == [partner.server_port]
+        path.write_text(json.dumps(data | {"discovery": f"127.0.0.1:{other.server_port}"}))
+        courier.send_signal(signal.SIGHUP)
+        wait_for("the move", lambda: b"SIGHUP: discovery is at" in (tmp_path / "log").read_bytes())
+        assert ask(port, request("gallery-notice", "99", "nobody there", patience_ms=100)) == b"+OK\r\n"
+        wait_for("a notice at the new address", lambda: len(Partner.told_at) > 1)
+        assert Partner.told_at[-1] == other.server_port
+    finally:
+        courier.kill()
+        courier.wait()
+        other.shutdown()
+        other.server_close()
--- a/tests/test_hooks.py
+++ b/tests/test_hooks.py
@@ -15,7 +15,7 @@
 from winchspan.deadlines import Deadlines
 from winchspan.interface import Outcome
 from winchspan.net.hooks import Hooks, read
-from winchspan.net.host_group import SILENCE, HostGroup, Watch
+from winchspan.net.host_group import AGAIN, SILENCE, HostGroup, Watch
 from winchspan.net.http import AnswerParser
 from winchspan.net.notices import Notice, Notices
 from winchspan.net.server_link import CallEnd, Fate
@@ -146,6 +146,10 @@
     def __init__(self) -> None:
         self.calls: list[tuple[list[bytes], Callable[[CallEnd], None], Callable[[bytes], None] | None]] = []
         self.cancelled = 0
+        self.shut: list[Address] = []
+
+    def close_idle(self, address: Address) -> None:
+        self.shut.append(address)
 
     def call(self, address: Address, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
              on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None) -> Links:
@@ -186,6 +190,41 @@
     assert links.cancelled == 2 and len(links.calls) == 3 and len(got) == 1
 
 
+def test_a_watch_that_moves_goes_on_at_the_new_address_at_once_and_from_the_version_held():
+    clock, links = SetClock(), Links()
+    deadlines, group = Deadlines(clock), HostGroup(lambda news: None)
+    group.take(news(5, host("s-1"), whole=True))
+    watch = Watch(group, links, deadlines, AGENT)  # type: ignore[arg-type]
+    watch.open()
+    watch.move(AGENT)
+    assert links.cancelled == 0
+    watch.move(Address("127.0.0.9", 9))
+    deadlines.run_due()
+    head = links.calls[1][0][0]
+    assert links.cancelled == 1 and b"since=5" in head and b"Host: 127.0.0.9:9\r\n" in head
+    links.calls[1][1](CallEnd(Fate.BROKEN))                 # between two watches it moves as well
+    watch.move(AGENT)
+    clock.advance(AGAIN)
+    deadlines.run_due()
+    assert b"Host: %s\r\n" % str(AGENT).encode() in links.calls[2][0][0] and len(links.calls) == 3
+
+
+def test_notices_that_move_repeat_at_the_new_address_what_the_old_one_did_not_answer():
+    clock, links, heard = SetClock(), Links(), list[str]()
+    deadlines = Deadlines(clock)
+    notices = Notices(links, clock, deadlines, AGENT)  # type: ignore[arg-type]
+    notices.add(Notice("a", "failed", 0, lambda: heard.append("a")))
+    deadlines.run_due()
+    notices.move(Address("127.0.0.9", 9))
+    assert links.shut == [AGENT]
+    links.calls[0][1](CallEnd(Fate.BROKEN))
+    clock.advance(100)
+    deadlines.run_due()
+    assert b"Host: 127.0.0.9:9\r\n" in links.calls[1][0][0]
+    links.calls[1][1](answer(b"HTTP/1.1 204 No Content\r\n\r\n"))
+    assert heard == ["a"]
+
+
 @pytest.mark.parametrize("line", [b"{nonsense\n", b"[1]\n", b"[" * 100_000 + b"\n", b"\xff\xfe\n",
                                   b'{"seq":NaN,"hosts":[]}\n', b'{"seq":1e999,"hosts":[]}\n'])
 def test_an_unreadable_line_asks_for_the_whole_list(line: bytes):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from winchspan.clock import SetClock, to_ms, to_ns
-from winchspan.config import ConfigError, load
+from winchspan.config import ConfigError, load, reload
 from winchspan.deadlines import Deadlines
 from winchspan.logs import MOST, Throttle
 from winchspan.slots import SlotTable
@@ -99,7 +99,8 @@
     ({"state": "/no/such/folder"}, "state"), ({"seed": "zz"}, "seed"), ({"settings": None}, "settings"),
     ({"settings": {"request_classes": [{"name": "c"}]}}, "goal_time_ns"), ({"listen": 5}, "listen"),
     ({"limits": {"sockets": 2}}, "limits.sockets"), ({"limits": {"disk_mb": 0}}, "limits.disk_mb"),
-    ({"limits": 3}, "limits")])
+    ({"limits": 3}, "limits"), ({"discovery": "x:" + "9" * 5_000}, "discovery"),
+    ({"settings": {"kinds": ["k"], "family_info": {"per_call": [1e999]}}}, "settings")])
 def test_bad_configuration_names_the_faulty_key(tmp_path: Path, changes: dict[str, Any], word: str):
     with pytest.raises(ConfigError, match=word):
         load(write(tmp_path, **changes))
@@ -111,3 +112,20 @@
     (tmp_path / "bad").write_text("{")
     with pytest.raises(ConfigError, match="JSON"):
         load({"ROUTER_CONFIG": str(tmp_path / "bad")})
+
+
+def test_a_new_reading_moves_discovery_and_nothing_else(tmp_path: Path):
+    """The variable is as old as the process: if it won, the watch could never move."""
+    env = write(tmp_path) | {"ROUTER_DISCOVERY": "127.0.0.5:1"}
+    running = load(env)
+    assert str(running.discovery) == "127.0.0.5:1"
+    write(tmp_path, discovery="127.0.0.6:2", seed="99", name="other")
+    config = reload(env, running)
+    assert str(config.discovery) == "127.0.0.6:2"
+    assert (config.seed, config.name) == (running.seed, running.name)
+    write(tmp_path, discovery=None)
+    assert str(reload(env, running).discovery) == "127.0.0.5:1"
+    for text in ("", "{", "[]", '{"discovery": "nowhere"}', '{"discovery": "127.0.0.6:2"}'):
+        (tmp_path / "config.json").write_text(text)
+        with pytest.raises(ConfigError):
+            reload(env, running)
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -15,7 +15,7 @@
 from winchspan import interface as api
 from winchspan import logs
 from winchspan.clock import Clock, to_ms
-from winchspan.config import Config, ConfigError, load
+from winchspan.config import Config, ConfigError, load, reload
 from winchspan.courier import Courier
 from winchspan.deadlines import Deadlines
 from winchspan.journal import Journal
@@ -80,6 +80,7 @@
         self._loop.set_exception_handler(_log_fault)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._courier.recover()
         self._watch.open()
         self._clients.listen(self._loop, self._config.listen.host, self._config.listen.port)
@@ -88,6 +89,17 @@
         self._journal.close()
         logger.info("{} ends", self._config.name)
 
+    def _reload(self) -> None:
+        """SIGHUP: read the configuration again; one that cannot be used changes nothing."""
+        try:
+            self._config = reload(os.environ, self._config)
+        except ConfigError as err:
+            logger.error("SIGHUP: the old configuration goes on: {}", err)
+            return
+        self._watch.move(self._config.discovery)
+        self._notices.move(self._config.discovery)
+        logger.info("SIGHUP: discovery is at {}", self._config.discovery)
+
     def _stop(self) -> None:
         """SIGTERM: clients are answered while they come, what is out may end, the rest is in the journal."""
         if self._clients.closing:
@@ -109,6 +121,7 @@
 
 def main() -> int:
     """Run one courier; a configuration that cannot be used ends it with one line."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)   # until the loop takes it: its default ends the process
     try:
         config = load(os.environ)
     except ConfigError as err:
--- a/winchspan/config.py
+++ b/winchspan/config.py
@@ -1,13 +1,14 @@
 """The one place where configuration is read, checked and given defaults.
 
 The file named by ROUTER_CONFIG holds it as JSON; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and
-ROUTER_STATE override what the file says. Every complaint names the faulty key.
+ROUTER_STATE override what the file says. Every complaint names the faulty key. `reload` reads the file again
+while the courier runs.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -51,7 +52,8 @@
 def parse_address(text: str, key: str) -> Address:
     """Read `host:port`."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65_535:
+    plain = port.isascii() and port.isdigit() and len(port) <= 5
+    if not colon or not host or not plain or int(port) > 65_535:
         raise ConfigError(f"{key}: expected host:port, not {text!r:.80}")
     return Address(host.strip("[]"), int(port))
 
@@ -80,8 +82,22 @@
 def load(env: Mapping[str, str]) -> Config:
     """Read the configuration; raises a ConfigError that names the faulty key."""
     path = env.get("ROUTER_CONFIG")
-    data = _read(path) if path else {}
+    return _build(env, _read(path) if path else {})
 
+
+def reload(env: Mapping[str, str], running: Config) -> Config:
+    """Read the file anew and return the running configuration with its `discovery`; raises a ConfigError.
+
+    What ROUTER_DISCOVERY says is as old as the process: the file wins, or the watch could never move. All
+    else that the file says is checked, and holds from the next start on.
+    """
+    data = _read(env.get("ROUTER_CONFIG", ""))
+    old = {"ROUTER_DISCOVERY": ""} if "discovery" in data else {}
+    return replace(running, discovery=_build({**env, **old}, data).discovery)
+
+
+def _build(env: Mapping[str, str], data: dict[str, Any]) -> Config:
+    """Check what the file says and what overrides it."""
     def told(variable: str, key: str, default: str | None = None) -> str:
         value = env.get(variable) or field(data, key, str, default)
         if not value:
@@ -110,7 +126,7 @@
         raise ConfigError(f"state: {state} is not a folder")
     try:
         settings = settings_from_wire(field(data, "settings", dict))
-    except (FieldError, ValueError, TypeError, AttributeError) as err:
+    except (FieldError, ValueError, TypeError, AttributeError, ArithmeticError) as err:
         raise ConfigError(f"settings: {err}") from None
     return Config(name=name, listen=listen, discovery=discovery, state=state, seed=seed, sockets=sockets,
                   disk_bytes=int(disk * 1_000_000), log_level=level, known=known, settings=settings)
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -119,15 +119,28 @@
         self._silent: Deadline | None = None
         self._line = bytearray()
         self._fresh = False           # ask for the whole list: what came did not fit
+        self._moved = False           # the call at hand, if any, is to the address before
 
     def open(self) -> None:
         """Open the watch from the version held."""
+        self._moved = False
         since = "" if self._fresh or self._group.seq < 0 else f"&since={self._group.seq}"
         self._line.clear()
         pieces = http.request("GET", f"/api/targets?follow=1{since}", str(self._address))
         self._call = self._links.call(self._address, pieces, _FOREVER, self._ended, self._body)
         self._listen()
 
+    def move(self, address: Address) -> None:
+        """Follow discovery at another address from now on, from the version held.
+
+        The watch at the old one is ended here, not left to its silence: that would leave drains untold for
+        seconds.
+        """
+        if address != self._address:
+            self._address, self._moved = address, True
+            if self._call is not None:
+                self._call.cancel()
+
     def _listen(self) -> None:
         """Expect something within the time in which an empty line must come."""
         if self._silent is not None:
@@ -177,4 +190,4 @@
             self._silent.cancel()
         if end.answer is not None and end.answer.status != 200:
             logger.warning("host group: discovery answered {}", end.answer.status)
-        self._deadlines.after(AGAIN, self.open)
+        self._deadlines.after(0.0 if self._moved else AGAIN, self.open)
--- a/winchspan/net/notices.py
+++ b/winchspan/net/notices.py
@@ -47,6 +47,15 @@
     def __len__(self) -> int:
         return len(self._owed)
 
+    def move(self, address: Address) -> None:
+        """Send to another address from now on; what is out to the old one may still be answered there.
+
+        If it is not, it is repeated here like all that is owed.
+        """
+        if address != self._address:
+            self._links.close_idle(self._address)
+            self._address = address
+
     def add(self, notice: Notice) -> None:
         """Send a notice; `heard` is called once it is answered."""
         self._owed.append(notice)
