Bound what bad clients, spoilt answers and past holders of an address can do

At fault: ClientLinks._room (only links that had been answered made room), no time on any client link, ClientLink.buffer_updated (no bound on a turn), Courier.take (unknown destinations were taken on), hooks.read (the first line was not kept), the pool's key (an address alone). Ruled out: closing fresh links sooner than 2.1 s; their first request would have failed.

--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -62,6 +62,9 @@
     def close_idle(self, endpoint: int) -> None:
         pass
 
+    def serves(self, dest: int) -> bool:
+        return dest in (1, 2)
+
     def describe(self, endpoint: int) -> tuple[str, str, int]:
         return f"s-{endpoint}", "z", self.per_call
 
@@ -150,6 +153,15 @@
     assert busy.value.retry_after == 3_000 and "d" not in world.open()
 
 
+def test_what_cannot_be_delivered_at_all_is_not_taken(tmp_path: Path):
+    world = World(tmp_path)
+    for cls, dest, left, token in (("safe", 3, 5_000.0, ""), ("safe", 1, 0.0, ""), ("safe", 1, 1e9, ""),
+                                   ("keyed", 1, 5_000.0, "")):
+        with pytest.raises(BadRequest):
+            world.courier.take("x", cls, None, dest, left, token, b"")
+    assert world.open() == []
+
+
 def test_a_full_disk_refuses(tmp_path: Path):
     world = World(tmp_path, disk=60_000)
     with pytest.raises(Busy):
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -60,14 +60,16 @@
         budget = SocketBudget(config.sockets - OWN_FILES)
         links = ServerLinks(loop, self._clock, self._deadlines, budget,
                             to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
-        self._group = HostGroup(lambda news: self._courier.listed(news), links.close_idle)
+        self._group = HostGroup(lambda news: self._courier.listed(news), links.part)
         self._notices = Notices(links, self._clock, self._deadlines, config.discovery)
-        hooks = Hooks(self._group, links, self._clock, {n: k.per_call for n, k in settings.kinds.items()})
+        hooks = Hooks(self._group, links, self._clock, {n: k.per_call for n, k in settings.kinds.items()},
+                      settings.answers_report)
         self._courier = Courier(settings, config.seed, self._clock, self._deadlines, self._journal, hooks,
                                 Announcements(self._notices), loop.call_soon)
         self._watch = Watch(self._group, links, self._deadlines, config.discovery)
         most = max(budget.limit // 2, budget.limit - settings.slots - 4)   # the rest is for server links
-        self._clients = ClientLinks(self._courier, budget, most, links.retire_oldest)
+        self._clients = ClientLinks(self._courier, self._clock, self._deadlines, budget, most,
+                                    links.retire_oldest)
         self._done = asyncio.Event()
 
     async def run(self) -> None:
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -101,6 +101,9 @@
     def close_idle(self, endpoint: int) -> None:
         """Close the idle connections to an endpoint."""
 
+    def serves(self, dest: int) -> bool:
+        """Whether a destination is known at all."""
+
     def describe(self, endpoint: int) -> tuple[str, str, int]:
         """Name and zone of an endpoint, and how many messages a call to it may hold."""
 
@@ -112,6 +115,7 @@
         """Send a notice until it is answered; `heard` is called then."""
 
 
+LONGEST = 2.0             # times a class's own deadline that a message may ask for
 NO_QUERY = -1             # a handle that no query has
 MAY_HAVE_RUN = {api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED}
 
@@ -151,8 +155,15 @@
 
         A message that is taken on already has its handle elsewhere: whoever asks again cannot withdraw it.
         """
-        if cls not in self._settings.classes:
+        known = self._settings.classes.get(cls)
+        if known is None:
             raise BadRequest(f"unknown class {cls!r:.60}")
+        if not self._carrier.serves(dest):
+            raise BadRequest(f"unknown destination {dest}")
+        if not 0.0 < left <= LONGEST * to_ms(known.deadline_ns):
+            raise BadRequest(f"no time for this class: {left:.0f} ms")
+        if known.effect is api.Effect.KEYED and not token:
+            raise BadRequest("this class needs an idempotency key")   # without one a repeat would run twice
         if message in self._by_id:
             return NO_QUERY               # the same request once more: it is taken on already
         retry_after = to_ms(self._settings.max_retry_after_ns)
--- a/winchspan/interface.py
+++ b/winchspan/interface.py
@@ -106,6 +106,7 @@
     can_cancel: bool = False
     can_tell_peers: bool = False
     must_subscribe: bool = False
+    answers_report: bool = False   # whether answers hold load reports
     max_retry_after_ns: int = 0
     connect_timeout_ns: int = 1_000_000_000
     keepalive_ns: int = 5_000_000_000
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -5,12 +5,14 @@
 import asyncio
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from loguru import logger
 
+from winchspan.clock import Clock
 from winchspan.courier import BadRequest, Busy
+from winchspan.deadlines import Deadlines
 from winchspan.net import resp
 from winchspan.net.receive import ReceiveBuffer
 from winchspan.net.server_link import SocketBudget
@@ -21,6 +23,14 @@
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
 BACKLOG = 512
 RETRY_S = 0.1             # after the system has refused to accept
+AT_ONCE = 16              # accepted, and requests of one link answered, before others have their turn
+FAULTS = 16               # bad requests on a link that close it
+PENANCE = 100.0           # a link is not read for so long after a bad request
+SWEEP = 100.0             # between two looks for links that are over their time
+IDLE = 2_100.0            # longer than a link without an open request must be kept
+WHOLE_WITHIN = 1_000.0    # from a request's first byte to its last; its client waits 400 ms for the answer
+READ_WITHIN = 3_000.0     # for a client to take its answers
+MUTE = 300.0              # a client that has said nothing for so long makes room for others
 
 
 class Intake(Protocol):
@@ -48,6 +58,8 @@
         name, equals, value = item.partition("=")
         if not equals or not value.isprintable():
             raise BadRequest("the names are not NAME=VALUE")
+        if name in values:
+            raise BadRequest("a name comes twice")
         values[name] = value
     left, dest, token = values.get("d", ""), values.get("dest", ""), values.get("k", "")
     if not _NUMBER.fullmatch(left):
@@ -56,6 +68,8 @@
         raise BadRequest("dest is no number")
     if token and not _ID.fullmatch(token.encode("latin-1")):
         raise BadRequest("k is not plain")
+    if any(values.get(mark, "1") != "1" for mark in ("r", "again")):
+        raise BadRequest("a mark is not 1")
     return intake.take(message.decode(), values.get("c", ""), int(key, 16) or None, int(dest), float(left),
                        token, body)
 
@@ -70,6 +84,10 @@
         self._transport: asyncio.Transport | None = None
         self._unsent: list[int] = []      # queries whose answer has not wholly reached the system
         self._answered = False            # what crosses with a close is sent again only between requests
+        self._stuck = False               # answers wait for the client to read them
+        self._later = False               # whole requests wait for their turn, or for a penance to end
+        self._faults = 0
+        self._since = links.now()         # when it came, was last answered, or its open request began
         self.handle = 0
         self.used = 0                     # when it was last used, in requests of all clients
 
@@ -88,44 +106,72 @@
 
     def pause_writing(self) -> None:
         """Guards against a client that sends and never reads: it is not read any further."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._stuck, self._since = True, self._links.now()
+        self._read_on()
 
     def resume_writing(self) -> None:
         """All answers have reached the system."""
         self._unsent.clear()
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._stuck, self._since = False, self._links.now()
+        self._read_on()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the loop may put the next bytes."""
         return self._buffer.space()
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Answer every request that has come whole."""
+        """Answer what has come whole."""
+        if not len(self._buffer):
+            self._since = self._links.now()
+        self._buffer.end += nbytes
+        if not self._later and not self._stuck:
+            self._serve()
+
+    def _read_on(self) -> None:
+        """Read from the client unless something waits."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._stuck or self._later:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _turn(self) -> None:
+        """Go on with what waited."""
+        self._later = False
+        if not self._stuck:
+            self._serve()
+        self._read_on()
+
+    def _serve(self) -> None:
+        """Answer some requests; the rest of a flood waits until others have had their turn."""
         buffer, transport = self._buffer, self._transport
-        buffer.end += nbytes
         if transport is None or transport.is_closing():
             return
         answers: list[bytes] = []
         taken: list[int] = []
-        broken = False
+        faults, broken, requests = self._faults, False, 0
         try:
-            while found := self._parser.next(buffer.data, buffer.start, buffer.end):
+            while requests < AT_ONCE and (found := self._parser.next(buffer.data, buffer.start, buffer.end)):
                 words, buffer.start = found
                 answers.extend(self._answer(words, taken))
+                requests += 1
         except resp.RespError as err:
-            logger.warning("client link: {}", err)
+            logger.debug("client link: {}", err)
             answers.append(resp.error(f"ERR Protocol error: {err}"))
             broken = True
         if answers:
-            self._answered, self.used = True, self._links.used()
+            self._answered, self._since, self.used = True, self._links.now(), self._links.used()
             self._unsent.extend(taken)
             transport.writelines(answers)
             if not transport.get_write_buffer_size():
                 self._unsent.clear()
-        if broken or (self._links.closing and not len(buffer)):
+        if broken or self._faults >= FAULTS or (self._links.closing and not len(buffer)):
             transport.close()
+        elif self._faults > faults or requests == AT_ONCE:
+            self._later = True
+            self._read_on()
+            self._links.later(PENANCE if self._faults > faults else 0.0, self._turn)
 
     def _answer(self, words: list[bytes], taken: list[int]) -> tuple[bytes, ...]:
         """Carry out one request."""
@@ -136,10 +182,11 @@
                 return (resp.simple("OK"),)
             if command == b"PING":
                 return resp.bulk(words[1]) if len(words) > 1 else (resp.simple("PONG"),)
-            return (resp.error(f"ERR unknown command {words[0][:32].decode('latin-1')!r}"),)
+            raise BadRequest(f"unknown command {words[0][:32].decode('latin-1')!r}")
         except Busy as busy:
             return (resp.error(f"BUSY {busy.retry_after:.0f}" if busy.retry_after else "BUSY"),)
         except BadRequest as err:
+            self._faults += 1
             return (resp.error(f"ERR {err}"),)
         except Exception:      # guards against a fault of ours that would end every client's link
             logger.exception("a request failed")
@@ -150,6 +197,37 @@
         idle = self._transport is not None and not len(self._buffer) and not self._parser.begun
         return idle and (self._answered or fresh)
 
+    def mute(self, now: float) -> bool:
+        """Whether its client has kept a whole request waiting for longer than one takes to come."""
+        return now - self._since > MUTE and (self.begun or not self._answered)
+
+    @property
+    def begun(self) -> bool:
+        """Whether part of a request has come."""
+        return len(self._buffer) > 0 or self._parser.begun
+
+    @property
+    def since(self) -> float:
+        """When it came, was last answered, or its open request began."""
+        return self._since
+
+    def expire(self, now: float) -> None:
+        """Close a link whose client has had its time.
+
+        Guards against clients that hold a descriptor and ask for nothing, send half a request, or never read.
+        """
+        age = now - self._since
+        if self._transport is None or self._later:
+            return
+        if self._stuck or self._transport.is_closing():
+            if age >= READ_WITHIN:
+                self._transport.abort()
+        elif self.begun and age >= WHOLE_WITHIN:
+            self._transport.write(resp.error("ERR Protocol error: the request did not come whole"))
+            self._transport.close()
+        elif age >= IDLE:
+            self._transport.close()
+
     def close(self) -> None:
         """Close once all answers have left."""
         if self._transport is not None:
@@ -159,10 +237,11 @@
 class ClientLinks:
     """All client links, and the socket that accepts them."""
 
-    def __init__(self, intake: Intake, budget: SocketBudget, most: int,
+    def __init__(self, intake: Intake, clock: Clock, deadlines: Deadlines, budget: SocketBudget, most: int,
                  make_room: Callable[[], bool]) -> None:
         self.intake = intake
         self.closing = False
+        self._clock, self._deadlines = clock, deadlines
         self._budget, self._most, self._make_room = budget, most, make_room
         self._links: SlotTable[ClientLink] = SlotTable()
         self._requests = 0
@@ -171,12 +250,34 @@
         self._accepting = False
         self._tasks: set[asyncio.Task[object]] = set()
 
+    @property
+    def all(self) -> Iterator[ClientLink]:
+        """The links that are open."""
+        return iter(self._links)
+
+    def now(self) -> float:
+        """The clock's reading."""
+        return self._clock.now()
+
+    def later(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something after some milliseconds, and after what the loop has at hand."""
+        self._deadlines.after(delay, action)
+
+    def sweep(self) -> None:
+        """Close the links that are over their time, again and again."""
+        now = self._clock.now()
+        for link in self._links:
+            link.expire(now)
+        self._resume()                 # those that kept others out may have become mute
+        self._deadlines.after(SWEEP, self.sweep)
+
     def listen(self, loop: asyncio.AbstractEventLoop, host: str, port: int) -> int:
         """Accept clients at an address; returns the port."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket, self._loop = socket.create_server((host, port), family=family, backlog=BACKLOG), loop
         self._socket.setblocking(False)
         self._resume()
+        self._deadlines.after(SWEEP, self.sweep)
         return int(self._socket.getsockname()[1])
 
     def _resume(self) -> None:
@@ -190,31 +291,32 @@
             self._loop.remove_reader(self._socket)
 
     def _accept(self) -> None:
-        """Accept the first that waits, if there is a socket for it.
+        """Accept the first that wait, as far as there are sockets for them.
 
         asyncio's own server accepts the whole backlog before it looks at one connection: near the limit it
         runs out of descriptors and then accepts nobody for a second. Here the rest waits in the backlog: a
         client whose connection ends without an answer has lost its message.
         """
         assert self._socket is not None and self._loop is not None
-        if not self._room():
-            self._pause()              # until a link is gone or has become unused
-            return
-        try:
-            client, _ = self._socket.accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-            return
-        except OSError as err:
-            logger.error("client links: cannot accept: {}", err)
-            self._pause()
-            self._loop.call_later(RETRY_S, self._resume)
-            return
-        client.setblocking(False)
-        link = ClientLink(self)
-        self.opened(link)
-        task = self._loop.create_task(self._adopt(self._loop, link, client))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        for _ in range(AT_ONCE):
+            if not self._room():
+                self._pause()              # until a link is gone or has become unused
+                return
+            try:
+                client, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as err:
+                logger.error("client links: cannot accept: {}", err)
+                self._pause()
+                self._loop.call_later(RETRY_S, self._resume)
+                return
+            client.setblocking(False)
+            link = ClientLink(self)
+            self.opened(link)
+            task = self._loop.create_task(self._adopt(self._loop, link, client))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     async def _adopt(self, loop: asyncio.AbstractEventLoop, link: ClientLink, client: socket.socket) -> None:
         try:
@@ -224,12 +326,18 @@
             self.gone(link)
 
     def _room(self) -> bool:
-        """Whether one more may be accepted; if not, the link unused for longest makes room, where one may."""
+        """Whether one more may be accepted; if not, others make room, where they may.
+
+        First those that have kept silent for longest, then the one unused for longest. Guards against
+        hundreds of silent clients that would keep the usual ones in the backlog for seconds.
+        """
         if len(self._links) < self._most and (self._budget.spare() > 0 or self._make_room()):
             return True
-        unused = [link for link in self._links if link.may_close(fresh=False)]
-        if unused:
-            min(unused, key=lambda link: link.used).close()
+        now = self._clock.now()
+        mute = sorted((link for link in self._links if link.mute(now)), key=lambda link: link.since)
+        unused = [] if mute else [link for link in self._links if link.may_close(fresh=False)]
+        for link in mute[:AT_ONCE] or sorted(unused, key=lambda link: link.used)[:1]:
+            link.close()
         return False
 
     def opened(self, link: ClientLink) -> None:
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -18,7 +18,7 @@
 
 _FATES = {Fate.NOT_WRITTEN: api.Outcome.CONNECT_FAILED, Fate.BROKEN: api.Outcome.RESET,
           Fate.TIMED_OUT: api.Outcome.TIMEOUT, Fate.CANCELLED: api.Outcome.CANCELLED,
-          Fate.RECALLED: api.Outcome.NOT_SENT}
+          Fate.RECALLED: api.Outcome.NOT_SENT, Fate.SPOILT: api.Outcome.ERROR}
 _STATES = {"ok": (api.Outcome.DELIVERED, True), "error": (api.Outcome.ERROR, False),
            "later": (api.Outcome.FULL, False), "gone": (api.Outcome.NOT_SENT, True),
            "exhausted": (api.Outcome.NOT_SENT, False)}
@@ -27,30 +27,36 @@
 class Hooks:
     """The carrier of this platform."""
 
-    def __init__(self, group: HostGroup, links: ServerLinks, clock: Clock, kinds: dict[str, int]) -> None:
+    def __init__(self, group: HostGroup, links: ServerLinks, clock: Clock, kinds: dict[str, int],
+                 reports: bool = False) -> None:
         self._group, self._links, self._clock, self._kinds = group, links, clock, kinds
+        self._reports = reports           # whether the settings say that answers hold load reports
 
     def start(self, endpoint: int, parcels: list[Parcel], until: float, begin_by: float | None,
               done: Callable[[list[Verdict]], None]) -> Call:
         """Begin a call; `done` gets a verdict for each parcel."""
-        address = self._group.hosts[endpoint].address
+        host = self._group.hosts[endpoint]
         patience = max(0.0, until - self._clock.now()) / 1_000.0
         if len(parcels) == 1:
-            pieces = _one(parcels[0], str(address), patience)
+            pieces = _one(parcels[0], str(host.address), patience)
         else:
-            pieces = _many(parcels, str(address), patience)
-        return self._links.call(address, pieces, until, lambda end: done(read(end, parcels)),
-                                begin_by=begin_by)
+            pieces = _many(parcels, str(host.address), patience)
+        return self._links.call(host.peer, pieces, until,
+                                lambda end: done(read(end, parcels, self._reports)), begin_by=begin_by)
+
+    def serves(self, dest: int) -> bool:
+        """Whether the list has named an endpoint of a destination; before any list, nobody knows."""
+        return dest in self._group.dests or not self._group.dests
 
     def recall(self, endpoint: int) -> None:
         """Take back the calls to an endpoint that have not wholly gone out."""
         if host := self._group.hosts.get(endpoint):
-            self._links.recall(host.address)
+            self._links.recall(host.peer)
 
     def close_idle(self, endpoint: int) -> None:
         """Close the idle links to an endpoint, unless it has long been off the list."""
         if host := self._group.hosts.get(endpoint):
-            self._links.close_idle(host.address)
+            self._links.close_idle(host.peer)
 
     def describe(self, endpoint: int) -> tuple[str, str, int]:
         """Name and zone of an endpoint, and how many messages a call to it may hold."""
@@ -77,13 +83,15 @@
     return http.request("POST", "/hook/batch", host, headers, body)
 
 
-def read(end: CallEnd, parcels: list[Parcel]) -> list[Verdict]:
+def read(end: CallEnd, parcels: list[Parcel], reports: bool = False) -> list[Verdict]:
     """What the end of a call means for each message in it."""
     answer = end.answer
+    if answer is None and end.first_line == 200 and len(parcels) == 1:
+        return [Verdict(api.Outcome.DELIVERED, True)]   # true by the protocol, whatever became of the rest
     if answer is None:
         return [Verdict(_FATES[end.fate])] * len(parcels)
     status, wait = answer.status, _wait(answer.headers.get("x-ratelimit-wait-ms", ""))
-    left, rate = _report(answer.headers.get("x-load", ""))
+    left, rate = _report(answer.headers.get("x-load", "") if reports else "")
     if status == 200 and len(parcels) > 1:
         return _each(bytes(answer.body), parcels, wait, left, rate)
     if status == 200:
@@ -106,9 +114,8 @@
     """The ends of several messages; one that is not told may have run."""
     states: dict[object, object] = {}
     try:
-        for row in read_json(body):
-            states[row["id"]] = row["state"]
-    except (FieldError, TypeError, KeyError) as err:
+        states = {row["id"]: row["state"] for row in read_json(body)}
+    except (FieldError, TypeError, KeyError) as err:   # nothing in it is believed then
         logger.warning("the answer to several messages cannot be read: {!r:.100}", err)
     verdicts = []
     for parcel in parcels:
@@ -127,14 +134,15 @@
 
 
 def _report(text: str) -> tuple[float | None, float | None]:
-    """The share of the allowance left and the limit, from `x0=0.4,x1=25`."""
+    """The share of the allowance left and the limit, from `x0=0.4,x1=25`, or neither."""
     values: dict[str, float] = {}
     for item in text.split(",") if text else ():
         name, _, value = item.partition("=")
         try:
             number = float(value)
         except ValueError:
-            continue
-        if 0.0 <= number < 1e9:      # not NaN either
-            values[name.strip()] = number
+            return None, None
+        if not 0.0 <= number < 1e9:      # NaN either
+            return None, None
+        values[name.strip()] = number
     return values.get("x0"), values.get("x1")
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -13,7 +13,7 @@
 from winchspan.config import Address, ConfigError, parse_address
 from winchspan.deadlines import Deadline, Deadlines
 from winchspan.net import http
-from winchspan.net.server_link import Call, CallEnd, ServerLinks
+from winchspan.net.server_link import Call, CallEnd, Peer, ServerLinks
 from winchspan.settings import FieldError, array, field, number, read_json, whole, word
 
 SILENCE = 3_000.0         # an empty line comes every 2 s while the watch lives
@@ -37,6 +37,11 @@
     listing: api.Listing
     share: float
 
+    @property
+    def peer(self) -> Peer:
+        """Who its links lead to."""
+        return Peer(self.address, self.number)
+
     def row(self) -> api.Row:
         """The endpoint as the decision module sees it."""
         return api.Row(self.number, self.dest, self.listing, self.zone, self.kind, self.share)
@@ -46,9 +51,10 @@
     """Numbers the endpoints and keeps what was last said of each."""
 
     def __init__(self, on_list: Callable[[api.EndpointList], None],
-                 on_leave: Callable[[Address], None] = lambda address: None) -> None:
+                 on_leave: Callable[[Peer], None] = lambda peer: None) -> None:
         self.seq = -1
         self.hosts: dict[int, Host] = {}
+        self.dests: dict[int, int] = {}   # destinations named, with how many of the hosts are theirs
         self._numbers: dict[tuple[str, int], int] = {}
         self._next = count(1)
         self._on_list, self._on_leave = on_list, on_leave
@@ -73,13 +79,16 @@
             named = {host.number for host in hosts}
             for host in [host for host in self.hosts.values() if host.number not in named]:
                 self.hosts[host.number] = replace(host, listing=api.Listing.GONE)
+                self._on_leave(host.peer)
         for host in hosts:
             before = self.hosts.get(host.number)
             self.hosts[host.number] = host
-            if before is not None and before.address != host.address:
-                self._on_leave(before.address)
+            if before is None:
+                self.dests[host.dest] = self.dests.get(host.dest, 0) + 1
+            elif before.address != host.address:
+                self._on_leave(before.peer)
             if host.listing is not api.Listing.IN_SERVICE:
-                self._on_leave(host.address)
+                self._on_leave(host.peer)
         self._forget()
         scope = scope or (api.Scope.WHOLE if complete else api.Scope.CHANGES)
         self._on_list(api.EndpointList(scope, tuple(host.row() for host in hosts)))
@@ -90,6 +99,9 @@
         for host in gone[:max(0, len(gone) - _GONE_KEPT)]:
             del self.hosts[host.number]
             del self._numbers[host.name, host.dest]
+            self.dests[host.dest] -= 1
+            if not self.dests[host.dest]:
+                del self.dests[host.dest]
 
     def _host(self, row: object) -> Host:
         """Read one entry."""
@@ -104,10 +116,11 @@
             address = parse_address(field(row, "dial", str), "dial")
         except ConfigError as err:
             raise FieldError(str(err)) from None
+        zone, kind = field(row, "site", str, ""), field(row, "class", str, "")
+        share = number(row, "share", 1.0)
         mine = self._numbers.get((name, dest)) or next(self._next)
         self._numbers[name, dest] = mine
-        return Host(mine, name, address, dest, field(row, "site", str, ""), field(row, "class", str, ""),
-                    listing, max(0.0, number(row, "share", 1.0)))
+        return Host(mine, name, address, dest, zone, kind, listing, max(0.0, share))
 
 
 class Watch:
@@ -127,7 +140,7 @@
         since = "" if self._fresh or self._group.seq < 0 else f"&since={self._group.seq}"
         self._line.clear()
         pieces = http.request("GET", f"/api/targets?follow=1{since}", str(self._address))
-        self._call = self._links.call(self._address, pieces, _FOREVER, self._ended, self._body)
+        self._call = self._links.call(Peer(self._address), pieces, _FOREVER, self._ended, self._body)
         self._listen()
 
     def move(self, address: Address) -> None:
--- a/winchspan/net/http.py
+++ b/winchspan/net/http.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable
 
 MAX_HEAD = 16 * 1024
-MAX_BODY = 4 * 1024 * 1024
+MAX_BODY = 64 * 1024           # of an answer that is kept; the protocol sends no more
+MAX_CHUNK = 4 * 1024 * 1024    # of one that is handed on as it comes
+MAX_INTERIM = 32
 _MAX_CHUNK_LINE = 1_024
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
 
 class HttpError(Exception):
@@ -21,19 +25,16 @@
 
     def __init__(self, on_body: Callable[[bytes], None] | None = None) -> None:
         self.status = 0
+        self.first_line = 0           # the status that the first line tells, whatever comes of the rest
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.done = False
         self.keep_alive = True
         self._on_body = on_body
+        self._interim = 0
         self._step: Callable[[bytearray, int, int], int | None] = self._head
         self._left = 0
 
-    @property
-    def begun(self) -> bool:
-        """Whether the head has come."""
-        return self.status != 0
-
     def take(self, buffer: bytearray, start: int, end: int) -> int:
         """Use what lies in the buffer between two places and return where it stopped."""
         while not self.done:
@@ -49,44 +50,56 @@
             self.done = True
 
     def _head(self, buffer: bytearray, start: int, end: int) -> int | None:
-        stop = buffer.find(b"\r\n\r\n", start, min(end, start + MAX_HEAD))
+        limit = min(end, start + MAX_HEAD)
+        if not self.first_line:
+            stop = buffer.find(b"\r\n", start, limit)
+            if stop >= 0:
+                # The first line counts even where the rest of the head turns out to be spoilt.
+                self.first_line = _status(str(buffer[start:stop], "latin-1"))
+        stop = buffer.find(b"\r\n\r\n", start, limit)
         if stop < 0:
             if end - start >= MAX_HEAD:
                 raise HttpError("the head is too long")
             return None
         with memoryview(buffer) as view:
-            lines = str(view[start:stop], "latin-1").split("\r\n")
-        words = lines[0].split(" ", 2)
-        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not _digits(words[1], 3):
-            raise HttpError(f"no status line: {lines[0]!r:.60}")
-        for line in lines[1:]:
+            first, *lines = str(view[start:stop], "latin-1").split("\r\n")
+        for line in lines:
             name, colon, value = line.partition(":")
-            if not colon or not name or name != name.strip():
+            name, value = name.lower(), value.strip()
+            if not colon or not _NAME.fullmatch(name):
                 raise HttpError(f"no header: {line!r:.60}")
-            self.headers[name.lower()] = value.strip()
-        status = int(words[1])
+            if name == "content-length" and self.headers.get(name, value) != value:
+                raise HttpError("two lengths")   # guards against a body whose end is a guess
+            self.headers[name] = value
+        status = self.first_line
         if status < 200:            # an interim answer: the real one follows
             self.headers.clear()
-            if status == 101:
-                raise HttpError("the connection was switched to another protocol")
+            self.first_line = 0
+            self._interim += 1
+            if status == 101 or self._interim > MAX_INTERIM:
+                raise HttpError(f"interim answer {status}, the {self._interim}th")
             return stop + 4
         self.status = status
         tokens = {token.strip() for token in self.headers.get("connection", "").lower().split(",")}
-        self.keep_alive = "close" not in tokens and (words[0] != "HTTP/1.0" or "keep-alive" in tokens)
+        old = first.startswith("HTTP/1.0")
+        self.keep_alive = "close" not in tokens and (not old or "keep-alive" in tokens)
         self._begin_body()
         return stop + 4
 
     def _begin_body(self) -> None:
         """Decide how the body is framed."""
         coding, length = self.headers.get("transfer-encoding"), self.headers.get("content-length")
+        largest = MAX_BODY if self._on_body is None else MAX_CHUNK
         if self.status in (204, 304):
             self.done = True
+        elif coding is not None and length is not None:
+            raise HttpError("both a length and a transfer coding")
         elif coding is not None:
             if coding.lower() != "chunked":
                 raise HttpError(f"unknown transfer coding {coding!r:.60}")
             self._step = self._chunk_size
         elif length is not None:
-            if not _digits(length, 9) or int(length) > MAX_BODY:
+            if not _digits(length, 9) or int(length) > largest:
                 raise HttpError(f"a body of {length!r:.60} bytes")
             self._left = int(length)
             self.done = not self._left
@@ -135,7 +148,7 @@
         if not 1 <= len(digits) <= 8 or any(d not in b"0123456789abcdefABCDEF" for d in digits):
             raise HttpError(f"no chunk length: {digits!r:.60}")
         self._left = int(digits, 16)
-        if self._left > MAX_BODY:
+        if self._left > MAX_CHUNK:
             raise HttpError("a chunk is too long")
         self._step = self._chunk if self._left else self._trailer
         return stop + 2
@@ -160,6 +173,16 @@
         return stop + 2
 
 
+def _status(line: str) -> int:
+    """The status that a first line tells."""
+    words = line.split(" ", 2)
+    if len(words) < 2 or words[0] not in ("HTTP/1.1", "HTTP/1.0") or not _digits(words[1], 3):
+        raise HttpError(f"no status line: {line!r:.60}")
+    if int(words[1]) < 100:
+        raise HttpError(f"no status: {line!r:.60}")
+    return int(words[1])
+
+
 def _digits(text: str, most: int) -> bool:
     """Whether the text is a plain number of at most so many digits."""
     return text.isascii() and text.isdigit() and len(text) <= most
--- a/winchspan/net/notices.py
+++ b/winchspan/net/notices.py
@@ -12,7 +12,7 @@
 from winchspan.config import Address
 from winchspan.deadlines import Deadlines
 from winchspan.net import http
-from winchspan.net.server_link import CallEnd, Fate, ServerLinks
+from winchspan.net.server_link import CallEnd, Fate, Peer, ServerLinks
 
 PATIENCE = 500.0          # the answer comes at once
 AGAIN = 50.0
@@ -53,7 +53,7 @@
         If it is not, it is repeated here like all that is owed.
         """
         if address != self._address:
-            self._links.close_idle(self._address)
+            self._links.close_idle(Peer(self._address))
             self._address = address
 
     def add(self, notice: Notice) -> None:
@@ -67,7 +67,7 @@
         batch = self._owed[:MOST]
         pieces = http.request("POST", "/v1/notices", str(self._address),
                               body=b"".join(notice.line() for notice in batch))
-        self._links.call(self._address, pieces, self._clock.now() + PATIENCE,
+        self._links.call(Peer(self._address), pieces, self._clock.now() + PATIENCE,
                          lambda end: self._ended(end, batch))
 
     def _ended(self, end: CallEnd, batch: list[Notice]) -> None:
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -19,6 +20,8 @@
 from winchspan.net.receive import ReceiveBuffer
 from winchspan.slots import SlotTable
 
+WHOLE_WITHIN = 500.0      # from the first byte of an answer to its last
+
 
 class Fate(Enum):
     """How a call ended."""
@@ -29,6 +32,7 @@
     TIMED_OUT = "timed out"
     CANCELLED = "cancelled"
     RECALLED = "recalled"           # taken back before its last byte was written
+    SPOILT = "spoilt"               # what came back is no answer, or does not come to an end
 
 
 @dataclass(slots=True)
@@ -37,6 +41,18 @@
 
     fate: Fate
     answer: AnswerParser | None = None
+    first_line: int = 0             # the status that the answer's first line told, whole or not
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Who is called: an address, and the number of the endpoint that holds it (0: discovery).
+
+    Addresses are used again: no link of the old holder may serve the new one.
+    """
+
+    address: Address
+    number: int = 0
 
 
 class SocketBudget:
@@ -54,15 +70,18 @@
 class Call:
     """One request on its way, from `ServerLinks.call` until its end is told."""
 
-    __slots__ = ("pieces", "done", "parser", "link", "timers", "ending")
+    __slots__ = ("pieces", "done", "parser", "link", "timers", "ending", "bounded", "whole_by")
 
-    def __init__(self, pieces: list[bytes], done: Callable[[CallEnd], None], parser: AnswerParser) -> None:
+    def __init__(self, pieces: list[bytes], done: Callable[[CallEnd], None], parser: AnswerParser,
+                 bounded: bool) -> None:
         self.pieces = pieces
         self.done: Callable[[CallEnd], None] | None = done
         self.parser = parser
         self.link: ServerLink | None = None
         self.timers: list[Deadline] = []
         self.ending: Fate | None = None
+        self.bounded = bounded        # once begun its answer must end soon; a watch's never does
+        self.whole_by: Deadline | None = None
 
     def cancel(self) -> None:
         """Stop waiting; the end is told once the connection is closed."""
@@ -91,9 +110,10 @@
 class ServerLink(asyncio.BufferedProtocol):
     """One connection: connecting, idle, busy with one call, or closed."""
 
-    def __init__(self, pool: ServerLinks, address: Address) -> None:
+    def __init__(self, pool: ServerLinks, peer: Peer) -> None:
         self._pool = pool
-        self.address = address
+        self.peer = peer
+        self.parting = False              # its peer has left: no further call may go on it
         self.handle = 0
         self.call: Call | None = None
         self.retire: Deadline | None = None
@@ -111,7 +131,7 @@
 
     async def _connect(self, loop: asyncio.AbstractEventLoop) -> None:
         try:
-            await loop.create_connection(lambda: self, self.address.host, self.address.port)
+            await loop.create_connection(lambda: self, self.peer.address.host, self.peer.address.port)
         except OSError:
             self._close()
 
@@ -131,6 +151,18 @@
             self.retire = None
         self._write()
 
+    def stale(self) -> bool:
+        """Whether something has come, or ended, that the loop has not read yet.
+
+        Guards against a second copy of the last answer that would be taken for the next one.
+        """
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _write(self) -> None:
         assert self.call is not None and self._transport is not None
         self.written = False
@@ -152,7 +184,7 @@
             unsent = call.ending in (Fate.CANCELLED, Fate.RECALLED)
             call.end(CallEnd(call.ending if call.ending and unsent else Fate.NOT_WRITTEN))
         else:
-            call.end(CallEnd(call.ending or Fate.BROKEN))
+            call.end(CallEnd(call.ending or Fate.BROKEN, first_line=call.parser.first_line))
 
     # ---- what the loop calls -----------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -188,11 +220,17 @@
         try:
             buffer.start = call.parser.take(buffer.data, buffer.start, buffer.end)
         except HttpError as err:
-            logger.warning("server link {}: {}", self.address, err)
-            self.abort()
+            logger.warning("server link {}: {}", self.peer.address, err)
+            call.stop(Fate.SPOILT)
             return
         if call.parser.done:
             self._answered(call)
+        elif not call.parser.first_line and not len(buffer):   # no more than an interim answer has come
+            if call.whole_by is not None:
+                call.whole_by.cancel()
+                call.whole_by = None
+        elif call.whole_by is None and call.bounded:
+            call.whole_by = self._pool.expect_whole(call)
 
     def eof_received(self) -> bool:
         """The other side has ended; an answer without a length ends with it."""
@@ -205,7 +243,7 @@
     def _answered(self, call: Call) -> None:
         """The answer is whole: the link is idle again, or closed where it cannot be used further."""
         self.call = None
-        if call.parser.keep_alive and self.written and not len(self._buffer):
+        if call.parser.keep_alive and self.written and not len(self._buffer) and not self.parting:
             self._pool.idle(self)
         else:
             self.abort()
@@ -223,26 +261,29 @@
         # close ends as a reset, and may have run.
         self._keepalive = max(keepalive - 1_000.0, keepalive / 2)
         self._links: SlotTable[ServerLink] = SlotTable()
-        self._idle: dict[Address, list[ServerLink]] = {}
+        self._idle: dict[Peer, list[ServerLink]] = {}
 
-    def call(self, address: Address, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
+    def call(self, peer: Peer, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
              on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None) -> Call:
         """Write a request on a warm link, or else on a new one; `done` gets its end.
 
         What has not been written by `begin_by` is taken back.
         """
-        call = Call(pieces, done, AnswerParser(on_body))
+        call = Call(pieces, done, AnswerParser(on_body), on_body is None)
         call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
         if begin_by is not None:
             call.timers.append(self._deadlines.add(begin_by, call.recall))
-        warm = self._idle.get(address)
-        if warm:
-            link = warm.pop()
-            link.begin(call)
-            return call
+        while warm := self._idle.get(peer):
+            link = warm[-1]
+            self._forget(link)
+            if link.stale():
+                link.abort()
+            else:
+                link.begin(call)
+                return call
         if self._budget.spare() < 1:
             self.retire_oldest()
-        link = ServerLink(self, address)
+        link = ServerLink(self, peer)
         link.handle = self._links.add(link)
         link.call, call.link = call, link
         self._budget.open += 1
@@ -251,6 +292,15 @@
         link.connect(self._loop)
         return call
 
+    def expect_whole(self, call: Call) -> Deadline:
+        """Give an answer that has begun some time to end.
+
+        Guards against heads and bodies that never do, which would hold a slot for the patience of a call.
+        """
+        timer = self._deadlines.after(WHOLE_WITHIN, lambda: call.stop(Fate.SPOILT))
+        call.timers.append(timer)
+        return timer
+
     @staticmethod
     def _not_up(link: ServerLink, call: Call) -> None:
         """The time to connect is over."""
@@ -259,7 +309,7 @@
 
     def idle(self, link: ServerLink) -> None:
         """A link is free for another call."""
-        self._idle.setdefault(link.address, []).append(link)
+        self._idle.setdefault(link.peer, []).append(link)
         handle = link.handle
         link.retire = self._deadlines.after(self._keepalive, lambda: self._retire(handle))
 
@@ -269,15 +319,22 @@
             self._forget(link)
             link.abort()
 
-    def close_idle(self, address: Address) -> None:
-        """Close the idle links to a server."""
-        for link in self._idle.pop(address, []):
+    def close_idle(self, peer: Peer) -> None:
+        """Close the idle links to a peer."""
+        for link in self._idle.pop(peer, []):
             link.abort()
 
-    def recall(self, address: Address) -> None:
-        """Take back the calls to a server that have not been written."""
+    def part(self, peer: Peer) -> None:
+        """A peer leaves: its links are closed, those in use after their answer."""
+        self.close_idle(peer)
+        for link in self._links:
+            if link.peer == peer:
+                link.parting = True
+
+    def recall(self, peer: Peer) -> None:
+        """Take back the calls to a peer that have not been written."""
         for link in self._links:
-            if link.address == address and link.call is not None:
+            if link.peer == peer and link.call is not None:
                 link.call.recall()
 
     def retire_oldest(self) -> bool:
@@ -292,11 +349,11 @@
 
     def _forget(self, link: ServerLink) -> None:
         """Take a link off the idle ones."""
-        links = self._idle.get(link.address)
+        links = self._idle.get(link.peer)
         if links and link in links:
             links.remove(link)
             if not links:
-                del self._idle[link.address]
+                del self._idle[link.peer]
 
     def gone(self, link: ServerLink) -> None:
         """A link is closed."""
--- a/winchspan/settings.py
+++ b/winchspan/settings.py
@@ -110,6 +110,7 @@
         keepalive_ns=whole(limits, "keepalive_ns", 5_000_000_000),
         calls_per_connection=whole(limits, "multiplex", 1),
         answer_grace_ns=whole(rules, "grace_to_answer_ns", 0),
+        answers_report=table(info, "load_report").get("how") == "answers",
         step_ns=whole(info, "step_ns", 1_000_000), drain_grace_ns=whole(rules, "drain_grace_ns", 0),
         start_capacity=number(rules, "start_capacity", 0.1), cold_ns=whole(rules, "cold_ns", 15_000_000_000),
         fall_multiple=number(rules, "fall_multiple", 1.0),
