--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
+from math import ceil, log
 
 from winchspan import interface as api
 from winchspan.interface import Action, Effect, Event, Listing, MessageClass, Outcome, Settings
@@ -26,6 +27,8 @@
 STUCK = 4               # a call this many times overdue is taken for one that will not come back soon
 SMOOTHING = 8           # weight 1/8 for a new latency sample, 1/4 for its deviation, as TCP does
 STRIKES = 2             # calls gone wrong in a row that open a breaker: one may be chance, two rarely are
+CHANCE = 0.02           # what is less likely than this is not held to be chance
+LOSSY, LOSSIEST = 0.2, 0.6  # share of answers lost from which it counts, and the most that is believed
 SICK_SHARE = 0.5        # an outage is 'most calls fail': the smoothed share of failures that counts as one
 SHARE_STEP = 0.25       # weight of one outcome in that share
 TIP_SAFETY = 0.8        # part of the fail-back budget that is used; the rest is for calls on their way
@@ -56,6 +59,7 @@
     ran_at: int | None = None  # sending of the first attempt that may have run
     ran_zone: str = ""
     last: Endpoint | None = None
+    silent_at: int = NEVER    # sending of its last attempt, if nothing came back for it
 
 
 @dataclass(slots=True, eq=False)
@@ -108,6 +112,7 @@
     ok_sent: int = 0          # sending of the latest call that was delivered
     strikes: int = 0
     fail_share: float = 0.0
+    lost: float = 0.0         # smoothed share of calls whose answer never came though later ones did
     doubt: int | None = None  # first call gone wrong since the last delivery
     unseen: bool = False      # what went wrong last proves that its call never ran
     silent: bool = False      # nothing came back for what went wrong last
@@ -334,6 +339,10 @@
     def _well(self, e: Endpoint, call: Call, latency: int) -> None:
         """A call was delivered: learn its pace, and let the endpoint back in, slowly after an outage."""
         now = self.now
+        if e.silent and not e.open:
+            for _ in range(e.strikes):
+                e.lost += (1 - e.lost) / SMOOTHING
+        e.lost -= e.lost / SMOOTHING
         if e.doubt is not None:
             # A call that is back late shows that its endpoint was slow, not down.
             if e.fail_share >= SICK_SHARE or (self._grave(e) and not call.overdue
@@ -372,7 +381,16 @@
         A call that never ran does, and two in silence, which hold slots; of other failures, a healthy one may
         have two in a row, and rarely three.
         """
-        return e.unseen or e.strikes > STRIKES or (e.silent and e.strikes >= STRIKES)
+        enough = self._enough(e)
+        return e.unseen or e.strikes > enough or (e.silent and e.strikes >= enough)
+
+    @staticmethod
+    def _enough(e: Endpoint) -> int:
+        """Calls gone wrong in a row that are no chance: more where answers get lost anyway.
+
+        Guards against trials only, one message at a time, at an endpoint that serves all and loses some answers.
+        """
+        return max(STRIKES, ceil(log(CHANCE) / log(min(e.lost, LOSSIEST)))) if e.lost > LOSSY else STRIKES
 
     def _ill(self, d: Destination, e: Endpoint, hard: bool, full: bool = False) -> None:
         """A call went wrong: doubt the endpoint, and open its breaker when it was not chance."""
@@ -395,7 +413,7 @@
         if hard:
             e.fail_share += (1 - e.fail_share) * SHARE_STEP
         silent = self.now - max(e.last_ok, e.listed, e.doubt - span) > span
-        if not e.open and (grave and (e.strikes >= STRIKES or silent) or e.fail_share >= SICK_SHARE):
+        if not e.open and (grave and (e.strikes >= self._enough(e) or silent) or e.fail_share >= SICK_SHARE):
             e.open = True
             self.actions.append(api.Remark(f"endpoint {e.id} taken for sick: trials only"))
 
@@ -409,8 +427,11 @@
         messages = len(d.queue) + 1
         age = max(self.now - d.refused, int(e.mean), self.s.tip_after_ns // OFTEN) / messages
         d.next_at = max(d.next_at, self.now + self._gap(1 / age, None))
-        if wait:  # all were told the same end, and what came meanwhile waits for it: it is cold from then on
-            opens = self.now + wait
+        opens = self.now + wait
+        # All were told the same end, and what came meanwhile waits for it: it is cold from then on. Not where it
+        # delivered a moment ago and is over a rate: a pause for one message would hold the next clump.
+        last = max(x.last_ok for x in d.endpoints.values())
+        if wait and opens - last > self.s.tip_after_ns:
             e.limit.next_at = max(e.limit.next_at, opens + self._gap(messages / (opens - d.refused), 0))
         if not e.open:   # else it is shut, not over a rate: the trials keep their own pace
             limit = e.limit
@@ -533,6 +554,7 @@
         if self._spent(m):
             self._give_up(m)
         else:
+            m.silent_at = call.sent if outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) else NEVER
             m.last = call.endpoint
             self._enqueue(m)
 
@@ -616,7 +638,7 @@
     def _sendable(self, m: Message) -> bool:
         """Whether the message itself may go now, wherever it goes."""
         # Guards against further attempts that feed the overload which makes them; one at a time always goes.
-        if m.ran_at is not None and m.dest.retries < 1 and m.dest.calls:
+        if m.ran_at is not None and m.dest.retries < 1 and m.dest.calls and not self._went_astray(m):
             return False
         if m.key is not None:
             if self.turns[m.key][0] is not m:
@@ -627,6 +649,15 @@
                 return False
         return True
 
+    @staticmethod
+    def _went_astray(m: Message) -> bool:
+        """Whether its last attempt was lost on its way: its endpoint has delivered a call sent later.
+
+        Guards against the budget for further attempts, meant for overload, where an endpoint in good health
+        loses answers: most of its queue waited for deliveries that the rest could not earn.
+        """
+        return m.last is not None and m.last.ok_sent > m.silent_at
+
     def _may_go(self, m: Message, e: Endpoint) -> bool:
         """Whether a repeat of the message is still dropped at that endpoint, or it needs no such care."""
         if m.ran_at is None or m.cls.effect is Effect.REPEATABLE:
@@ -704,7 +735,7 @@
                        if m is not first and self._sendable(m) and self._may_go(m, e)][:e.per_call - 1]
         for m in riders:
             d.queue.remove(m)
-            if m.ran_at is not None:
+            if m.ran_at is not None and not self._went_astray(m):
                 d.retries = max(0.0, d.retries - 1)
             call.members[m.id] = m, m.attempts
             m.out[m.attempts] = call
@@ -789,14 +820,19 @@
         if not call.overdue:
             self.actions.append(api.CloseIdle(e.id))   # the next call is on a fresh connection: it tells more
             e.idle.clear()
-        if e.ok_sent > call.sent:
+        if e.ok_sent > call.sent:   # it is lost on its way, not held up by the endpoint
             self._suspect_idle(call)
+            if not call.overdue:
+                e.lost += (1 - e.lost) / SMOOTHING
         elif not call.overdue:
             self._ill(d, e, hard=False)
         call.overdue = True
         d.window = min(d.window, self.half)
         if cls.effect is not Effect.ONCE:
-            lost = taken >= due << max(m.attempts for m, _ in call.members.values())
+            tries = max(m.attempts for m, _ in call.members.values())
+            if e.ok_sent > call.sent:
+                tries = (tries - 1) // (2 if e.lost > LOSSY else 1)
+            lost = taken >= due << tries
         else:
             behind = any(m.key is not None and len(self.turns[m.key]) > 1 for m, _ in call.members.values())
             lost = taken >= STUCK * due and bool(d.queue or behind or not self.free)
