--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -540,3 +540,92 @@
 def test_work_follows_the_traffic_and_not_the_size_of_the_fleet():
     """kumasi-relay-later big-1 was cut off for CPU: each event walked all destinations."""
     assert decisions_worked(300) == decisions_worked(3) > 0
+
+
+def test_a_wait_at_a_destination_that_delivered_a_moment_ago_ends_when_it_says():
+    """Real day "wide": told to wait with nothing queued, a clump was held 1.1 s beyond the wait's end."""
+    for quiet, late in ((0, False), (3 * SECOND, True)):
+        world = World(slots=8)
+        warm(world, 1, 11)
+        world.put("m", after=quiet)
+        world.end("m", Outcome.FULL, after=20 * MS, wait=200 * MS)
+        world.do(after=200 * MS + 250 * MS)           # the wait, and the pause of a rate or a slow start
+        assert (world.sends("m") == 1) == late
+
+
+def lossy(world: World, rounds: int, size: int = 1) -> None:
+    """Calls lost while one sent after each is delivered."""
+    for i in range(rounds):
+        names = [f"lost{i}-{j}" for j in range(size)]
+        world.do(*(api.Arrived(name, "safe", 1, 20 * SECOND) for name in names), after=50 * MS)
+        world.put(f"later{i}", after=5 * MS)
+        world.end(f"later{i}", Outcome.DELIVERED, after=100 * MS)
+        while not all((name, 0) in world.cancelled for name in names):
+            world.do(after=10 * MS)
+        world.do(*(api.Ended(name, 0, 11, Outcome.CANCELLED) for name in names))
+        for name in names:
+            while world.sends(name) < 2:
+                world.do(after=5 * MS)
+        world.do(*(api.Ended(name, 1, 11, Outcome.DELIVERED, final=True) for name in names), after=50 * MS)
+
+
+def test_a_call_that_later_ones_overtook_holds_its_slot_no_longer_than_it_is_due():
+    """Real day "wide": answers that never came held a slot for twice the time that a call may take."""
+    world = World(slots=8)
+    warm(world, 1, 11)
+    health = world.sender.endpoints[11]
+    due = world.sender._overdue_after(health, CLASSES["safe"])
+    world.put("lost")
+    sent = world.now
+    world.put("later", after=5 * MS)
+    world.end("later", Outcome.DELIVERED, after=100 * MS)
+    while ("lost", 0) not in world.cancelled:
+        world.do(after=5 * MS)
+    assert world.now - sent <= due + 5 * MS
+
+
+def test_what_was_lost_on_its_way_is_not_counted_against_the_budget_for_overload():
+    """Real day "wide": two thirds of a queue waited for deliveries that the rest could not earn."""
+    world = World(slots=8)
+    warm(world, 1, 11)
+    world.sender.dests[1].retries = 0.0
+    world.put("busy")
+    for name, overtaken in (("lost", True), ("late", False)):
+        world.put(name)
+        if overtaken:
+            world.put("later", after=5 * MS)
+            world.end("later", Outcome.DELIVERED, after=20 * MS)
+            world.sender.dests[1].retries = 0.0
+        world.end(name, Outcome.TIMEOUT, after=100 * MS)
+        world.do(after=100 * MS)
+        assert (world.sends(name) == 2) == overtaken
+
+
+def test_an_endpoint_that_loses_answers_is_not_taken_for_sick_by_two_in_a_row():
+    """Real day "wide": single trials at a destination that took all and lost some answers."""
+    for rounds, opens in ((0, True), (6, False)):
+        world = World(slots=8)
+        warm(world, 1, 11)
+        lossy(world, rounds)
+        for name in ("x", "y"):
+            world.put(name)
+        world.do(after=500 * MS)
+        health = world.sender.endpoints[11]
+        assert health.strikes == 2 and health.open == opens
+
+
+def test_calls_carry_fewer_messages_while_their_answers_are_lost():
+    """Real day "wide": an answer for ten is lost with any: 83% of such calls, 10% of single ones."""
+    world = World(slots=8, kind="batch")
+    warm(world, 1, 11)
+    health = world.sender.endpoints[11]
+    assert health.fill == 5
+    world.do(*(api.Arrived(f"a{i}", "safe", 1, 20 * SECOND) for i in range(5)))
+    while not world.cancelled:
+        world.do(after=10 * MS)
+    world.do(*(api.Ended(f"a{i}", 0, 11, Outcome.CANCELLED) for i in range(5)))
+    assert health.fill == 2
+    world.do(after=20 * MS)
+    assert {len(call.members) for call in world.sender.running.values()} <= {1, 2}
+    world.end("a0", Outcome.DELIVERED)
+    assert health.fill == 3
--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -98,6 +98,7 @@
     zone: str
     limit: Limit
     per_call: int
+    fill: int                 # messages that a call may hold at present, `per_call` at most
     fee: float
     kind: str
     listed: int               # clock reading at which it was first heard of
@@ -255,7 +256,7 @@
             if known is None:
                 limit = Limit() if kind.apart else dest.limit
                 known = Endpoint(row.endpoint, row.zone, limit, kind.per_call,
-                                 self.s.zone_fees.get(row.zone, 0.0) if kind.apart else 0.0,
+                                 kind.per_call, self.s.zone_fees.get(row.zone, 0.0) if kind.apart else 0.0,
                                  row.kind, self.now)
                 self._inherit(dest, known)
                 self.endpoints[row.endpoint] = dest.endpoints[row.endpoint] = known
@@ -365,7 +366,7 @@
         self.usual[e.kind] = self._smooth(*self.usual.get(e.kind, (0.0, 0.0)), latency)
         if e.limit.rate:   # few deliveries must do for a low rate
             e.limit.rate += max(RATE_RISE * e.limit.rate, self._least_rate(e.limit))
-        e.conn_cap = min(NEVER, e.conn_cap + 1)
+        e.conn_cap, e.fill = min(NEVER, e.conn_cap + 1), min(e.per_call, e.fill + 1)
         call.dest.retries = min(RETRY_BURST, call.dest.retries + RETRY_SHARE)
 
     @staticmethod
@@ -388,7 +389,7 @@
     def _enough(e: Endpoint) -> int:
         """Calls gone wrong in a row that are no chance: more where answers get lost anyway.
 
-        Guards against trials only, one message at a time, at an endpoint that serves all and loses some answers.
+        Guards against trials only, one message at a time, at an endpoint that serves all and loses answers.
         """
         return max(STRIKES, ceil(log(CHANCE) / log(min(e.lost, LOSSIEST)))) if e.lost > LOSSY else STRIKES
 
@@ -428,8 +429,8 @@
         age = max(self.now - d.refused, int(e.mean), self.s.tip_after_ns // OFTEN) / messages
         d.next_at = max(d.next_at, self.now + self._gap(1 / age, None))
         opens = self.now + wait
-        # All were told the same end, and what came meanwhile waits for it: it is cold from then on. Not where it
-        # delivered a moment ago and is over a rate: a pause for one message would hold the next clump.
+        # All were told the same end, and what came meanwhile waits for it: it is cold from then on. Not where
+        # it delivered a moment ago, over a rate: a pause for one message would hold the next clump.
         last = max(x.last_ok for x in d.endpoints.values())
         if wait and opens - last > self.s.tip_after_ns:
             e.limit.next_at = max(e.limit.next_at, opens + self._gap(messages / (opens - d.refused), 0))
@@ -595,6 +596,9 @@
             else:
                 d.window = min(d.window, self.half)
             return
+        if call.overdue and outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
+            # Guards against calls whose answer is lost with that of any message in them: of ten, nearly all.
+            e.fill = max(1, min(e.fill, len(call.members) + 1) // 2)
         if outcome is not Outcome.CANCELLED:
             e.unseen, e.silent = outcome in UNSEEN, outcome is Outcome.TIMEOUT
             d.window = min(d.window, self.half)
@@ -732,7 +736,7 @@
         riders = [first]
         if e.per_call > 1 and (e.unseen or not e.open):   # a trial risks one, if it may fail having run
             riders += [m for m in sorted(d.queue, key=self._rank)
-                       if m is not first and self._sendable(m) and self._may_go(m, e)][:e.per_call - 1]
+                       if m is not first and self._sendable(m) and self._may_go(m, e)][:e.fill - 1]
         for m in riders:
             d.queue.remove(m)
             if m.ran_at is not None and not self._went_astray(m):
