Count as lost only calls that later ones overtook: fewer messages a call, more strikes

Slow and hung endpoints shrank their calls too, and their strikes counted as lost answers. At fault: choice.py, _judge (`fill` after any silence) and _well (strikes taken for lost answers).

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -620,12 +620,19 @@
     warm(world, 1, 11)
     health = world.sender.endpoints[11]
     assert health.fill == 5
-    world.do(*(api.Arrived(f"a{i}", "safe", 1, 20 * SECOND) for i in range(5)))
-    while not world.cancelled:
-        world.do(after=10 * MS)
-    world.do(*(api.Ended(f"a{i}", 0, 11, Outcome.CANCELLED) for i in range(5)))
-    assert health.fill == 2
-    world.do(after=20 * MS)
-    assert {len(call.members) for call in world.sender.running.values()} <= {1, 2}
-    world.end("a0", Outcome.DELIVERED)
+    for overtaken, fill in ((False, 5), (True, 2)):       # a hung or slow endpoint is no reason
+        names = [f"a{overtaken}{i}" for i in range(5)]
+        world.do(*(api.Arrived(name, "safe", 1, 20 * SECOND) for name in names))
+        if overtaken:
+            world.put("later", after=5 * MS)
+            world.end("later", Outcome.DELIVERED, after=100 * MS)
+        while (names[0], 0) not in world.cancelled:
+            world.do(after=10 * MS)
+        world.do(*(api.Ended(name, 0, 11, Outcome.CANCELLED) for name in names),
+                 *(api.Withdrawn(name) for name in names))
+        assert health.fill == fill
+        world.do(after=5 * SECOND)
+    world.do(*(api.Arrived(f"b{i}", "safe", 1, 20 * SECOND) for i in range(5)))
+    assert sorted(len(call.members) for call in world.sender.running.values()) == [2]
+    world.end("b0", Outcome.DELIVERED)
     assert health.fill == 3
--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -340,9 +340,6 @@
     def _well(self, e: Endpoint, call: Call, latency: int) -> None:
         """A call was delivered: learn its pace, and let the endpoint back in, slowly after an outage."""
         now = self.now
-        if e.silent and not e.open:
-            for _ in range(e.strikes):
-                e.lost += (1 - e.lost) / SMOOTHING
         e.lost -= e.lost / SMOOTHING
         if e.doubt is not None:
             # A call that is back late shows that its endpoint was slow, not down.
@@ -596,7 +593,7 @@
             else:
                 d.window = min(d.window, self.half)
             return
-        if call.overdue and outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
+        if outcome in (Outcome.CANCELLED, Outcome.TIMEOUT) and call.overdue and e.ok_sent > call.sent:
             # Guards against calls whose answer is lost with that of any message in them: of ten, nearly all.
             e.fill = max(1, min(e.fill, len(call.members) + 1) // 2)
         if outcome is not Outcome.CANCELLED:
