Close idle client links beyond one in eight, so that clients that ask once find room

At fault: ClientLink.expire (2.1 s whatever the number) and ClientLinks._room (unused links closed only at the limit). Checked: links counted by state each 500 ms; requests taken fell to 56 a second, 128 links in 2.1 s. Ruled out: silent clients (91 links at most), the backlog (accepting throughout), CPU (0.8 of a core in one second).

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -433,6 +433,20 @@
     assert pipe.closed
 
 
+def test_few_links_may_be_idle_and_those_with_bad_requests_go_first():
+    """Incident r3c01bf: clients that ask once held all the links they may, each for two idle seconds."""
+    links, clock, deadlines = client_links(Desk(), 200, 160)
+    joined = [join(links) for _ in range(40)]
+    for i, (link, _) in enumerate(joined):
+        feed(link, BAD[0] if i == 30 else PING)
+    joined.append(join(links))                  # has not asked yet
+    joined.append(join(links))
+    feed(joined[-1][0], PING[:5])               # is asking
+    pass_time(links, clock, deadlines, SWEEP)
+    closed = [i for i, (_, pipe) in enumerate(joined) if pipe.closed]
+    assert closed == [*range(19), 30]
+
+
 def test_at_the_limit_those_who_keep_silent_make_room_first():
     """Hundreds of silent clients kept the usual ones in the backlog until their time was up."""
     async def play() -> None:
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -30,6 +30,7 @@
 IDLE = 2_100.0            # longer than a link without an open request must be kept
 WHOLE_WITHIN = 1_000.0    # from a request's first byte to its last; its client waits 400 ms for the answer
 READ_WITHIN = 3_000.0     # for a client to take its answers
+IDLE_PART = 8             # of the links that may be open, one part in so many may be idle
 MUTE = 300.0              # a client that has said nothing for so long makes room for others
 
 
@@ -86,8 +87,8 @@
         self._answered = False            # what crosses with a close is sent again only between requests
         self._stuck = False               # answers wait for the client to read them
         self._later = False               # whole requests wait for their turn, or for a penance to end
-        self._faults = 0
         self._since = links.now()         # when it came, was last answered, or its open request began
+        self.faults = 0                   # bad requests
         self.handle = 0
         self.used = 0                     # when it was last used, in requests of all clients
 
@@ -150,7 +151,7 @@
             return
         answers: list[bytes] = []
         taken: list[int] = []
-        faults, broken, requests = self._faults, False, 0
+        faults, broken, requests = self.faults, False, 0
         try:
             while requests < AT_ONCE and (found := self._parser.next(buffer.data, buffer.start, buffer.end)):
                 words, buffer.start = found
@@ -166,12 +167,12 @@
             transport.writelines(answers)
             if not transport.get_write_buffer_size():
                 self._unsent.clear()
-        if broken or self._faults >= FAULTS or (self._links.closing and not len(buffer)):
+        if broken or self.faults >= FAULTS or (self._links.closing and not len(buffer)):
             transport.close()
-        elif self._faults > faults or requests == AT_ONCE:
+        elif self.faults > faults or requests == AT_ONCE:
             self._later = True
             self._read_on()
-            self._links.later(PENANCE if self._faults > faults else 0.0, self._turn)
+            self._links.later(PENANCE if self.faults > faults else 0.0, self._turn)
 
     def _answer(self, words: list[bytes], taken: list[int]) -> tuple[bytes, ...]:
         """Carry out one request."""
@@ -186,7 +187,7 @@
         except Busy as busy:
             return (resp.error(f"BUSY {busy.retry_after:.0f}" if busy.retry_after else "BUSY"),)
         except BadRequest as err:
-            self._faults += 1
+            self.faults += 1
             return (resp.error(f"ERR {err}"),)
         except Exception:      # guards against a fault of ours that would end every client's link
             logger.exception("a request failed")
@@ -243,6 +244,7 @@
         self.closing = False
         self._clock, self._deadlines = clock, deadlines
         self._budget, self._most, self._make_room = budget, most, make_room
+        self._most_idle = max(AT_ONCE, most // IDLE_PART)
         self._links: SlotTable[ClientLink] = SlotTable()
         self._requests = 0
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -268,6 +270,8 @@
         now = self._clock.now()
         for link in self._links:
             link.expire(now)
+        for link in self._unused()[self._most_idle:]:
+            link.close()
         self._resume()                 # those that kept others out may have become mute
         self._deadlines.after(SWEEP, self.sweep)
 
@@ -325,6 +329,15 @@
             logger.warning("client link: {}", err)
             self.gone(link)
 
+    def _unused(self) -> list[ClientLink]:
+        """The links between two requests, the best to keep first: no bad request on it, used last.
+
+        Few may stay so. Guards against clients that ask once and keep their link: those of a deployment may
+        hold only so many, and idle ones of the last two seconds can be all of them.
+        """
+        idle = (link for link in self._links if link.may_close(fresh=False))
+        return sorted(idle, key=lambda link: (link.faults == 0, link.used), reverse=True)
+
     def _room(self) -> bool:
         """Whether one more may be accepted; if not, others make room, where they may.
 
@@ -335,8 +348,7 @@
             return True
         now = self._clock.now()
         mute = sorted((link for link in self._links if link.mute(now)), key=lambda link: link.since)
-        unused = [] if mute else [link for link in self._links if link.may_close(fresh=False)]
-        for link in mute[:AT_ONCE] or sorted(unused, key=lambda link: link.used)[:1]:
+        for link in mute[:AT_ONCE] or self._unused()[-1:]:
             link.close()
         return False
 
