--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -456,7 +456,7 @@
         half[1].write(PING[:5])
         third = await asyncio.open_connection("127.0.0.1", port)
         third[1].write(PING)
-        while len(list(links.all)) < 2 or not any(link.begun for link in links.all):
+        while len(links._links) < 2 or not any(link.begun for link in links._links):
             await asyncio.sleep(0)
         clock.advance(max(MUTE, SWEEP) + 1)
         deadlines.run_due()
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Protocol
 
 from loguru import logger
@@ -199,7 +199,7 @@
         return idle and (self._answered or fresh)
 
     def mute(self, now: float) -> bool:
-        """Whether its client has kept a whole request waiting for longer than one takes to come."""
+        """Whether its client has sent no whole request for longer than one takes to come."""
         return now - self._since > MUTE and (self.begun or not self._answered)
 
     @property
@@ -252,11 +252,6 @@
         self._accepting = False
         self._tasks: set[asyncio.Task[object]] = set()
 
-    @property
-    def all(self) -> Iterator[ClientLink]:
-        """The links that are open."""
-        return iter(self._links)
-
     def now(self) -> float:
         """The clock's reading."""
         return self._clock.now()
