Keep the margin before a window's end to senders whose calls take time to go out

At fault: choice.py, _last_send, which took the margin off in the simulator too, where a send arrives at once.

--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -773,20 +773,19 @@
             patience = min(patience, max(m.cls.dedup_ns // 2, m.cls.aim_ns))
         return min(m.deadline, self.now + patience)
 
-    @staticmethod
-    def _begin_by(m: Message) -> int:
+    def _begin_by(self, m: Message) -> int:
         """When an attempt must be out: a repeat that comes after its window would count as a new message."""
         keyed = m.ran_at is not None and m.cls.effect is Effect.KEYED
-        return Sender._last_send(m) if keyed else 0
+        return self._last_send(m) if keyed else 0
 
-    @staticmethod
-    def _last_send(m: Message) -> int:
+    def _last_send(self, m: Message) -> int:
         """When a repeat must be out: some time before its window ends.
 
         Guards against repeats that leave in time and arrive after it, over a new connection or from a sender
         started again, whose clocks agree only so far.
         """
-        return (m.ran_at or 0) + m.cls.dedup_ns - min(ON_ITS_WAY_NS, m.cls.dedup_ns // 10)
+        way = min(ON_ITS_WAY_NS, m.cls.dedup_ns // 10) if self.s.can_recall else 0   # else it arrives at once
+        return (m.ran_at or 0) + m.cls.dedup_ns - way
 
     def _suspect_idle(self, call: Call) -> None:
         """Guards against idle connections that die unseen, at a firewall or a restarted peer.
