Win a partner's rate back in fewer steps, and only watch partners too small to govern

And at partners that list 2 to 5 calls a second, one courier's part is a call or less, which can't be kept to in whole calls.

Change: 8 steps to the whole part instead of 12, and a failure on the way back takes 30% instead of 40%. New key least-part: destinations whose part is smaller are watched and counted, and decided as without a governor.

Constants tried beside these without effect: the share of further attempts that may be out.

--- a/deploy/kenanga.sexp
+++ b/deploy/kenanga.sexp
@@ -1,6 +1,7 @@
 ; The operator's own file for this platform. Each key, with unit, range and default: docs/operators/operator.md
 (storms
-  (on no)           ; off: on three days of the bench 0.822 with it, 0.869 without (docs/measured/storms.md)
+  (on yes)
+  (least-part 2)    ; small partners, as all here, are watched, not governed (docs/measured/storms.md)
   (pace-calm no)    ; the limits here are a partner's own; in calm times the module learns them
   (words no))       ; the platform's protocol has no place for words
 (undelivered
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -408,6 +408,28 @@
     assert desk.governor.ready_at(desk.now, 1) > desk.now + 800 * MS - 1, "the second's part may be used up"
 
 
+def test_a_partner_of_which_the_part_is_too_small_is_watched_and_not_governed():
+    desk = Desk(rate=3.0, least_part=2.0)          # 1.5 calls a second
+    desk.outage()
+    assert desk.state() is State.OUTAGE
+    for _ in range(3):
+        desk.governor.sent(desk.now, 1, 1, 1)
+    assert desk.governor.ready_at(desk.now, 1) <= desk.now and desk.governor.retry_at(desk.now, 1) <= desk.now
+    assert [desk.ask(left=1, token=f"{n}", repeat=True) for n in range(50)] == [None] * 50
+    asked = api.Asked("m", KEYED, 1, SECOND, 4, "t", True)
+    assert desk.governor.turned(desk.now, asked, 777).retry_after_ns == 777
+    back = desk.governor.handed_back(desk.now, 1, "m1", 777, 1)
+    assert back is not None and back.retry_after_ns == 777, "as without a governor"
+    desk.governor.listed(desk.now, 1, 10.0)
+    assert desk.governor.ready_at(desk.now, 1) > desk.now and desk.ask(left=1) is not None
+    for _ in range(30):
+        desk.governor.listed(desk.now, 1, 4.0)
+        desk.now += 2 * SECOND
+        desk.governor.ended(desk.now, 1, Outcome.DELIVERED, MS, 0)
+        desk.governor.ended(desk.now, 1, Outcome.FULL, MS, 0)
+    assert next(desk.governor.watched).governed, "a rate believed less is still the partner's size"
+
+
 def test_tables_stay_bounded_and_the_busiest_destinations_are_tracked():
     desk = Desk(destinations=8, keys=100)
     draw = random.Random(2)
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -17,6 +17,8 @@
     Key("share", float, 1.0, "of the listed rate that all couriers together use", "", 0.05, 1),
     Key("senders", int, 0, "couriers that share it; 0: as the platform says", "", 0, 1_000),
     Key("parts", tuple, (), "of each courier by number, if uneven; none: all the same", "", 0.01, 1),
+    Key("least-part", float, 0.0, "a courier's part of a rate below which it only watches", "calls a second",
+        0, 1e6),
     Key("pace-calm", bool, True, "keep to the listed rate in calm times, too"),
     Key("outage-strikes", int, 3, "calls gone wrong in a row that are an outage", "", 1, 1_000),
     Key("outage-after", float, 1.0, "over this time, without a delivery", "s", 0, 600),
@@ -46,6 +48,7 @@
     Key("megabytes", float, 64.0, "of the store's file at most, beside its log", "MB", 2, 1_000_000),
     Key("count", int, 200_000, "messages kept at most", "", 1, 100_000_000),
     Key("days", float, 30.0, "for which a message is kept at most", "days", 0.001, 36_500),
+    Key("trail", int, 10_000, "acts of operators kept on record, or a tenth more", "", 10, 10_000_000),
     Key("durable", bool, False, "whether a commit waits for the disk, and outlasts the machine"),
 ))
 
--- a/winchspan/storms/course.py
+++ b/winchspan/storms/course.py
@@ -15,8 +15,8 @@
 from winchspan.storms.settings import StormSettings
 
 SECOND = 1_000_000_000
-STEPS = 12                # deliveries that win the whole part back, where time allows
-CUT = 0.6                 # a refusal or failure on the way back takes away 40% of what was won
+STEPS = 8                 # deliveries that win the whole part back, where time allows
+CUT = 0.7                 # a refusal or failure on the way back takes away 30% of what was won
 LOWER = 0.6               # a return after a further fall begins at this share of the one before
 LOWEST = 0.25             # and at this share of the first at least
 MOST_FALLS = 8            # falls that are counted
--- a/winchspan/storms/governor.py
+++ b/winchspan/storms/governor.py
@@ -75,6 +75,7 @@
     told: State = State.CALM  # the state last written down
     fill: float = 1.0         # messages a call, smoothed
     next_place: int = 0       # of the virtual queue, as the theoretical arrival time of a GCRA
+    governed: bool = True     # else only watched: the courier's part of its rate is too small to keep to
     wait_until: int = 0       # told by the destination
     look_at: int = 0          # when its course is judged next
     busy: int = 0             # arrivals, halved now and then: who gives way to another
@@ -129,7 +130,7 @@
                 RetryBudget(now, self._storms.retry_share, self._storms.retry_least,
                             self._storms.retry_burst),
                 Loose(max(16, self._s.max_held), self._storms.grace_ns, self._storms.early_ns))
-            found.pace.state(self._storms.share * self._rates.get(destination, 0.0))
+            self._state_rate(found, self._rates.get(destination, 0.0))
             # Guards against two lives that both use up the part of one second.
             found.pace.used_up(self._last_life)
             self._watched[destination] = found
@@ -165,7 +166,12 @@
         if destination in self._rates or len(self._rates) < 4 * self._storms.destinations:
             self._rates[destination] = rate
         if w := self._watched.get(destination):
-            w.pace.state(self._storms.share * rate)
+            self._state_rate(w, rate)
+
+    def _state_rate(self, w: Watched, rate: float) -> None:
+        """Take a listed rate. Calls are whole: a part of one or two a second cannot be kept to."""
+        w.pace.state(self._storms.share * rate)
+        w.governed = w.pace.listed >= self._storms.least_part
 
     def arrived(self, now: int, event: Arrived, cls: MessageClass, attempts: int = 0) -> None:
         """A message is held; one of the life before that had failed makes its destination doubtful."""
@@ -187,7 +193,7 @@
     def ready_at(self, now: int, destination: int) -> int:
         """The courier's part of the rate: spaced out evenly, less while the destination is out or cold."""
         w = self._watched.get(destination)
-        if w is None:
+        if w is None or not w.governed:
             return 0
         if w.course.state is State.OUTAGE:
             return w.pace.ready_at(1.0, self._storms.trial_ns)
@@ -198,7 +204,7 @@
     def retry_at(self, now: int, destination: int) -> int:
         """A further attempt waits for the budget while the destination is in trouble."""
         w = self._watched.get(destination)
-        if w is None or not w.course.in_trouble or w.course.state is State.OUTAGE:
+        if w is None or not w.governed or not w.course.in_trouble or w.course.state is State.OUTAGE:
             return 0
         return w.budget.ready_at(now)
 
@@ -283,6 +289,8 @@
             w.look_at = now + LOOK_NS
             course.look(now, self._drain_ns(now, w, len(w.held)))
             self._tell_news(now, w)
+        if not w.governed:
+            return None
         if until := self._book.barred(now, asked.key, asked.token):
             self._count(w, "refused_key_order")
             told = self._capped(now, until)
@@ -345,6 +353,8 @@
         if w is None:
             return Turned(self._spread_out(now, default_ns) - now, "the courier is full")
         self._count(w, "refused_no_room")
+        if not w.governed:
+            return Turned(default_ns, "the courier is full")
         turned = self._turn(now, w, asked)
         return Turned(turned.retry_after_ns, f"the courier is full; {turned.reason}")
 
@@ -356,6 +366,8 @@
         against a second effect where clients don't keep to the window themselves.
         """
         w = self._watched.get(destination)
+        if w is not None and not w.governed:
+            return Turned(default_ns, "")
         told = self._spread_out(now, default_ns) if w is None else self._place(now, w)[0]
         if within_ns is not None and told - now + self._storms.grace_ns > within_ns:
             return None
--- a/winchspan/storms/pace.py
+++ b/winchspan/storms/pace.py
@@ -48,6 +48,11 @@
         self._not_before = 0
         self.trust = 1.0          # share of the listed rate that refusals leave believable
 
+    @property
+    def listed(self) -> float:
+        """The courier's whole part of the rate that is listed, in calls a second, believed or not."""
+        return part_of(self._rate, self._senders, self._me, self._part)[0] if self._rate > 0 else 0.0
+
     @property
     def mean(self) -> float:
         """The courier's whole part in calls a second; 0: not limited."""
--- a/winchspan/storms/settings.py
+++ b/winchspan/storms/settings.py
@@ -16,6 +16,7 @@
     share: float = 1.0                    # of the listed rate that all couriers together use
     senders: int = 0                      # that share it; 0: as the platform's settings say
     parts: tuple[float, ...] = ()         # of each, by its number, where traffic is uneven; none: the same
+    least_part: float = 0.0               # calls a second of the courier's part below which it only watches
     pace_calm: bool = True                # whether the listed rate is kept to in calm times, too
     outage_strikes: int = 3               # calls gone wrong in a row ...
     outage_after_ns: int = SECOND         # ... over this time, with no delivery, are an outage
