Bound the operators' trail, and vouch for what was let go in the chain itself

Need: the audit trail grew without a bound of its own, and was answered in one frame.

Change: a number of entries in the operator's file, 10,000; the oldest go in the transaction of the act that made it grow; the chain then begins with their last hash, and an entry says which they were. Store version 2, migrated; tools read version 1 as it is. The trail is paged over the socket, and names of source files are bounded.

Result: tests of cutting off the beginning in four ways, of the migration and of 450 entries in pages pass.

--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sqlite3
 from dataclasses import replace
 from pathlib import Path
@@ -25,10 +26,11 @@
 from winchspan.undelivered.record import Kept, Ran, State, Story
 from winchspan.undelivered.resender import MOST_OUT, Picked, Resender
 from winchspan.undelivered.rules import Rule
-from winchspan.undelivered.store import Filter, Store, StoreError
+from winchspan.undelivered.store import FILE, Bounds, Filter, Store, StoreError
 
 from .test_courier import OK
 from .test_keeper import BOUNDS, Life
+from .test_undelivered import kept
 
 AT_ONCE = Rule("at once", ran=(Ran.NEVER, Ran.MAY), rate=1_000.0, before=1e12, backoff=0.0, most=9)
 
@@ -383,8 +385,8 @@
     out = str(tmp_path / "out.jsonl")
     act(tmp_path / "a", "export", out)
     assert "would keep 1 of 1" in act(tmp_path / "b", "import", out, "--dry-run")
-    for kept in (1, 0):
-        assert f"kept {kept} of 1" in act(tmp_path / "b", "import", out, "--who", "operator-1")
+    for count in (1, 0):
+        assert f"kept {count} of 1" in act(tmp_path / "b", "import", out, "--who", "operator-1")
     m = two.kept()[1]
     assert (m.id, m.body, m.state, m.story) == ("a", b"a", State.HELD, one.kept()[0].story)
     assert "operator-1: import message 2: out.jsonl" in act(tmp_path / "b", "trail")
@@ -425,6 +427,63 @@
     assert "the trail is broken at entry" in act(tmp_path, "trail", code=2)
 
 
+def with_acts(folder: Path, count: int) -> Path:
+    """A store with a bound of ten acts, and so many of them."""
+    path = folder / FILE
+    store = Store(path, Bounds(trail=10))
+    store.keep([kept(1)], 0.0)
+    for n in range(count):
+        store.change(1, State.KEPT, who="operator-1", at=float(n), action="resend", detail=f"act {n}")
+    store.close()
+    return path
+
+
+def test_the_trail_lets_the_oldest_go_and_says_so_in_itself(tmp_path: Path):
+    path = with_acts(tmp_path, 100)
+    store = Store(path, BOUNDS, read_only=True)
+    found = store.trail()
+    assert 10 <= len(found.entries) <= 21 and found.entries[0][0] == found.first > 70
+    assert [e[0] for e in found.entries] == list(range(found.first, found.first + len(found.entries)))
+    assert sum(e[3] == "trim" for e in found.entries) >= 1 and found.entries[-1][-1] in ("act 99", "act 98")
+    assert [e for n in range(found.first - 1, found.entries[-1][0], 4) for e in store.trail(n, 4).entries] \
+        == found.entries
+    assert f"entries up to {found.first - 1} have been let go" in act(tmp_path, "trail")
+
+
+@pytest.mark.parametrize("harm", [
+    "DELETE FROM trail WHERE seq = (SELECT min(seq) FROM trail)",
+    "UPDATE trail_start SET seq = seq + 1", "UPDATE trail_start SET hash = x'00'",
+    # The first entries are cut off, and the beginning is moved so that the chain holds.
+    "UPDATE trail_start SET (seq, hash) = (SELECT seq, hash FROM trail WHERE seq = trail_start.seq + 3);"
+    "DELETE FROM trail WHERE seq <= (SELECT seq FROM trail_start)"])
+def test_a_beginning_that_nothing_vouches_for_is_a_broken_trail(tmp_path: Path, harm: str):
+    path = with_acts(tmp_path, 100)
+    with sqlite3.connect(path) as db:
+        db.executescript(harm)
+    assert "the trail is broken at entry" in act(tmp_path, "trail", code=2)
+
+
+def test_a_trail_of_the_version_before_goes_on(tmp_path: Path):
+    path = with_acts(tmp_path, 8)
+    with sqlite3.connect(path) as db:
+        db.executescript("DROP TABLE trail_start; PRAGMA user_version = 1;")
+    before = Store(path, BOUNDS, read_only=True).trail()
+    assert len(before.entries) == 8, "tools read it as it is"
+    store = Store(path, Bounds(trail=10))
+    store.change(1, State.KEPT, who="operator-2", at=9.0, action="resend")
+    assert store.trail().entries[:8] == before.entries and len(store.trail().entries) == 9
+
+
+def test_a_long_trail_is_read_in_pages(tmp_path: Path):
+    store = Store(tmp_path / FILE, Bounds())
+    store.keep([kept(n) for n in range(450)], 0.0, "operator-1", "a file")
+    store.close()
+    assert act(tmp_path, "trail").count("import message") == 450
+    assert len(json.loads(act(tmp_path, "trail", "--json"))["entries"]) == 450
+    assert len(run(Store(tmp_path / FILE, BOUNDS, read_only=True), "trail", check("trail", {"most": 10**9}),
+                   0.0)["entries"]) == 200
+
+
 # ---- all of it, in virtual time --------------------------------------------------------------------------
 def worlds(seed: int, folder: Path, **changes: Any) -> tuple[Twin, list[Kept]]:
     """A minute of outages of every kind and kills, and what the stores hold after it."""
--- a/tests/test_undelivered.py
+++ b/tests/test_undelivered.py
@@ -265,7 +265,7 @@
     Store(path, BOUNDS, has_effect).close()
     with sqlite3.connect(path) as db:
         db.execute("PRAGMA user_version = 99")
-    with pytest.raises(StoreError, match="version 99; this program knows 1"):
+    with pytest.raises(StoreError, match="version 99; this program knows 2"):
         open_or_replace(path, BOUNDS, has_effect, NOW)
     other = path.with_name("other")
     with sqlite3.connect(other) as db:
--- a/winchspan/cli/undelivered.py
+++ b/winchspan/cli/undelivered.py
@@ -332,13 +332,18 @@
 @click.pass_obj
 def trail(source: Source, /, as_json: bool) -> None:
     """Show what operators have done; exit code 2 if the trail has been tampered with."""
-    found = asked(source, "trail")
+    found = page = asked(source, "trail")
+    while len(page["entries"]) == queries.MOST_ENTRIES:
+        page = asked(source, "trail", after=page["entries"][-1]["seq"])
+        found = page | {"first": found["first"], "entries": found["entries"] + page["entries"]}
     if as_json:
         click.echo(json.dumps(found))
         return
+    if found["first"] > 1:
+        click.echo(f"entries up to {found['first'] - 1} have been let go")
     for row in found["entries"]:
         more = f": {row['detail']}" if row["detail"] else ""
-        click.echo(f"{row['seq']:>6} {when(row['at'])} {row['who']}: {row['action']} message "
-                   f"{row['number']}{more}")
+        what = f" message {row['number']}" if row["number"] else ""
+        click.echo(f"{row['seq']:>6} {when(row['at'])} {row['who']}: {row['action']}{what}{more}")
     if found["head"]:
         click.echo(f"the trail is whole; its head is {found['head']}")
--- a/winchspan/undelivered/queries.py
+++ b/winchspan/undelivered/queries.py
@@ -15,6 +15,8 @@
 from winchspan.undelivered.store import Filter, Store
 
 MOST = 500                # messages on a page without bodies
+MOST_ENTRIES = 200        # of the trail on a page
+LONGEST_SOURCE = 200      # characters of the name of a file, in the trail
 MOST_BODIES = 8           # and with them, so that a page fits into a frame
 
 
@@ -86,6 +88,13 @@
     classes: Mapping[str, MessageClass]
 
 
+class Steps(msgspec.Struct, forbid_unknown_fields=True):
+    """Arguments of `trail`: `after` is the number of the entry that ended the page before."""
+
+    after: int = 0
+    most: int = MOST_ENTRIES
+
+
 class Nothing(msgspec.Struct, forbid_unknown_fields=True):
     """Arguments of what takes none."""
 
@@ -122,10 +131,12 @@
     return store.stats()
 
 
-def trail(store: Store, args: Nothing, now: float) -> dict[str, Any]:
-    """What operators have done, and the head of the chain."""
+def trail(store: Store, args: Steps, now: float) -> dict[str, Any]:
+    """A page of what operators have done, the head of the chain, and the number of its oldest entry."""
     names = ("seq", "at", "who", "action", "number", "detail")
-    return {"head": store.head(), "entries": [dict(zip(names, row, strict=True)) for row in store.trail()]}
+    found = store.trail(args.after, max(1, min(args.most, MOST_ENTRIES)))
+    return {"head": found.head, "first": found.first,
+            "entries": [dict(zip(names, row, strict=True)) for row in found.entries]}
 
 
 def why(store: Store, args: One, now: float, context: Context | None = None) -> dict[str, Any]:
@@ -141,7 +152,7 @@
 
 def import_(store: Store, args: Bringing, now: float) -> list[dict[str, Any]]:
     """Keep messages that another store has exported; those that are kept already stay as they are."""
-    _named(args.who)
+    _named(args.who, args.source)
     found = []
     for number, one in enumerate(args.messages, 1):
         try:
@@ -158,14 +169,16 @@
     return [{"id": m.id, "state": m.state.value} for m in fresh]
 
 
-def _named(who: str) -> None:
+def _named(who: str, source: str) -> None:
     if not who.strip() or len(who) > 100:
         raise desk.DeskError("who: a name of 1 to 100 characters is needed")
+    if len(source) > LONGEST_SOURCE:
+        raise desk.DeskError(f"source: a name of up to {LONGEST_SOURCE} characters is needed")
 
 
 def act(store: Store, args: Doing, now: float) -> list[dict[str, Any]]:
     """Do something with some messages, all that can be done before the first that can't."""
-    _named(args.who)
+    _named(args.who, args.source)
     plans: dict[str, Callable[[int], desk.Act]] = {
         "resend": lambda number: desk.resend(store, number),
         "hold": lambda number: desk.hold(store, number, args.why),
@@ -185,7 +198,7 @@
 
 _QUERIES: dict[str, tuple[type[Any], Callable[..., Any], bool]] = {
     "list": (Page, list_, True), "show": (One, show, True), "stats": (Nothing, stats, True),
-    "trail": (Nothing, trail, True), "why": (One, why, True), "act": (Doing, act, False),
+    "trail": (Steps, trail, True), "why": (One, why, True), "act": (Doing, act, False),
     "import": (Bringing, import_, False)}
 NAMES = tuple(_QUERIES)
 
--- a/winchspan/undelivered/setup.py
+++ b/winchspan/undelivered/setup.py
@@ -16,7 +16,7 @@
 
 def keep_settings(values: Mapping[str, Any]) -> KeepSettings:
     """The section `undelivered` as the keeper's settings."""
-    bounds = Bounds(int(values["megabytes"] * 1e6), values["count"], values["days"])
+    bounds = Bounds(int(values["megabytes"] * 1e6), values["count"], values["days"], values["trail"])
     return KeepSettings(Path(values["folder"]) / FILE, bounds, values["failed"], values["returned"],
                         values["durable"])
 
--- a/winchspan/undelivered/store.py
+++ b/winchspan/undelivered/store.py
@@ -11,18 +11,18 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
-from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from winchspan.undelivered import trail
 from winchspan.undelivered.evict import rank
 from winchspan.undelivered.record import Kept, Ran, State, Story
 
 FILE = "undelivered.sqlite"
 APPLICATION = 0x57494E43  # 'WINC': what SQLite's header says that the file is
-VERSION = 1
+VERSION = 2
 PAGE = 4096
 SLACK = 64 * PAGE         # of the size limit, for indices and free pages
 AT_ONCE = 200             # rows evicted in a transaction at most
@@ -55,7 +55,10 @@
     UPDATE totals SET value = value - old.size WHERE name = 'bytes';
     UPDATE totals SET value = value - 1 WHERE name = 'count';
 END;
-""",)
+""", """
+CREATE TABLE trail_start(seq INTEGER NOT NULL, hash BLOB NOT NULL);
+INSERT INTO trail_start VALUES(0, x'');
+""")
 
 
 class StoreError(Exception):
@@ -64,11 +67,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """How much is kept: bytes of the file and of what it counts, messages, and days since their end."""
+    """How much is kept: bytes of the file and of what it counts, messages, days since their end, acts."""
 
     bytes: int = 64_000_000
     count: int = 200_000
     days: float = 30.0
+    trail: int = 10_000       # of operators, or a tenth more
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,11 +140,12 @@
             fresh = not db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]
             if not fresh and db.execute("PRAGMA application_id").fetchone()[0] != APPLICATION:
                 raise StoreError(f"{self._path}: not a store of kept messages")
-            version = db.execute("PRAGMA user_version").fetchone()[0]
+            version = self._version = db.execute("PRAGMA user_version").fetchone()[0]
             if version > VERSION:
                 raise StoreError(f"{self._path}: of version {version}; this program knows {VERSION}")
             if not self._read_only:
                 self._prepare(db, version, durable)
+                self._version = VERSION
             fault = db.execute("PRAGMA quick_check(1)").fetchone()[0]
             if fault != "ok":
                 raise sqlite3.DatabaseError(f"damaged: {fault}")
@@ -201,7 +206,7 @@
                 if who:
                     number = db.execute("SELECT number FROM kept WHERE id = ? AND deadline = ?",
                                         (m.id, m.deadline)).fetchone()[0]
-                    self._write_down(db, now, who, "import", number, source)
+                    trail.write_down(db, self._bounds.trail, now, who, "import", number, source)
         return evicted
 
     def _evict(self, db: sqlite3.Connection, size: int, count: int, now: float) -> int:
@@ -249,43 +254,36 @@
                  m.state.value, m.resends, m.next_at, m.note, int(m.approved), m.released,
                  rank(m, bool(row[-1])), number))
             if who:
-                self._write_down(db, at, who, action, number, detail)
+                trail.write_down(db, self._bounds.trail, at, who, action, number, detail)
             return True
 
     # ---- the trail ---------------------------------------------------------------------------------------
-    @staticmethod
-    def _link(before: bytes, row: tuple[Any, ...]) -> bytes:
-        """The hash of an entry: of the one before, and of all that the entry says."""
-        return sha256(before + msgspec.json.encode(row)).digest()
-
-    def _write_down(self, db: sqlite3.Connection, at: float, who: str, action: str, number: int,
-                    detail: str) -> None:
-        last = db.execute("SELECT seq, hash FROM trail ORDER BY seq DESC LIMIT 1").fetchone() or (0, b"")
-        row = (last[0] + 1, at, who, action, number, detail)
-        db.execute("INSERT INTO trail VALUES(?,?,?,?,?,?,?)", (*row, self._link(bytes(last[1]), row)))
-
-    def trail(self) -> list[tuple[int, float, str, str, int, str]]:
+    def trail(self, after: int = 0, most: int = 1_000_000_000) -> trail.Page:
         """What operators have done, oldest first; raises StoreError where the chain of hashes is broken.
 
-        Who can write the file can write a chain anew from some entry on; that shows against a hash noted
-        elsewhere (`head`). Entries left out, changed or put in between show by themselves.
+        The whole chain is checked, whatever page of it is asked for.
         """
-        before = b""
-        found: list[tuple[int, float, str, str, int, str]] = []
-        for seq, *rest, link in self._ask("SELECT * FROM trail ORDER BY seq"):
-            row: tuple[Any, ...] = (seq, *rest)
-            if seq != len(found) + 1 or self._link(before, row) != link:
-                raise StoreError(f"{self._path}: the trail is broken at entry {len(found) + 1}")
-            before = link
-            found.append((seq, *rest))
-        return found
-
-    def head(self) -> str:
-        """The hash of the trail's latest entry, to be noted elsewhere; empty if there is none."""
-        rows = self._ask("SELECT hash FROM trail ORDER BY seq DESC LIMIT 1")
-        return bytes(rows[0][0]).hex() if rows else ""
+        try:
+            with self._reading() as db:
+                start = db.execute("SELECT seq, hash FROM trail_start").fetchone() \
+                    if self._version > 1 else (0, b"")
+                return trail.read(start, db.execute("SELECT * FROM trail ORDER BY seq"), after, most)
+        except trail.BrokenTrail as err:
+            raise StoreError(f"{self._path}: {err}") from None
 
     # ---- questions ---------------------------------------------------------------------------------------
+    @contextmanager
+    def _reading(self) -> Iterator[sqlite3.Connection]:
+        """One look at the store: what others change meanwhile is not seen."""
+        try:
+            self._db.execute("BEGIN")
+            try:
+                yield self._db
+            finally:
+                self._db.execute("COMMIT")
+        except sqlite3.Error as err:
+            raise StoreError(f"{self._path}: {err}") from None
+
     def _ask(self, sql: str, values: list[Any] | tuple[Any, ...] = ()) -> list[Any]:
         try:
             return self._db.execute(sql, values).fetchall()
