Play the proof of undelivered messages with processes, and read a courier's memory over time

Need: the proof was played in virtual time only, and memory was not measured.

Rehearsals give each courier its own copy of the operator's file, and leave no couriers behind when they are killed themselves.

--- a/benchmarks/undelivered.py
+++ b/benchmarks/undelivered.py
@@ -2,11 +2,13 @@
 
 The proof, in virtual time: couriers are killed again and again among outages of every kind while rules send
 what was not delivered again at once; a partner counts effects. Then what it costs: the ordinary path, paired,
-and filters over a large store.
+and filters over a large store. `--sockets` plays the proof with processes, in real time; `--memory MINUTES`
+reads the memory of one that fails and keeps messages all the while.
 """
 
 from __future__ import annotations
 
+import asyncio
 import resource
 import statistics
 import tempfile
@@ -17,8 +19,10 @@
 import click
 from loguru import logger
 
+from winchspan.journal import Journal
 from winchspan.standins.clients import Stream
 from winchspan.standins.partner import Mode, Outage, PartnerSettings
+from winchspan.standins.rehearsal import Rehearsal
 from winchspan.standins.scenario import Scenario
 from winchspan.standins.twin import Twin
 from winchspan.storms.settings import StormSettings
@@ -29,6 +33,7 @@
 AT_ONCE = Rule("at once", ran=(Ran.NEVER, Ran.MAY), rate=1_000.0, before=1e12, backoff=0.0, most=9)
 KILLS = 20                # of a run
 NOW = 1_700_000_000_000.0
+OPERATOR = Path(__file__).with_suffix(".sexp")
 
 
 def faults(seed: int) -> Scenario:
@@ -65,6 +70,76 @@
                 "left in a journal": left}
 
 
+def held(folder: Path) -> tuple[list[Kept], set[str], int]:
+    """What a courier's folder holds after a run: kept messages, their ids and those of its journal, and how
+    many of these are owed an end."""
+    store = Store(folder / FILE, Bounds(), read_only=True)
+    kept = store.find(Filter(), 1_000_000)
+    store.close()
+    journal = Journal(folder, 3_000_000)
+    left = list(journal.entries)
+    journal.close()
+    return kept, {m.id for m in kept} | {entry.id for entry in left}, sum(e.notice is None for e in left)
+
+
+def on_sockets(seed: int) -> dict[str, int]:
+    """The same on real sockets: a courier is killed each other second, and is back 600 ms later."""
+    logger.remove()
+    modes = [Mode.SILENT, Mode.REFUSING, Mode.HANGING, Mode.DOWN]
+    outages = tuple(Outage(2_000.0 + 14_000.0 * n, 11_000.0 + 14_000.0 * n, modes[(seed + n) % 4])
+                    for n in range(3))
+    streams = (Stream("order-payment", 7, 6.0, end=44_000.0, keys=20, tries=1),
+               Stream("gallery-notice", 7, 10.0, end=44_000.0, tries=1),
+               Stream("gallery-notice", 8, 5.0, end=44_000.0, tries=1))
+    kills = tuple((2_000.0 + (2_017.0 + seed) * n, n % 2) for n in range(KILLS))
+    partners = (PartnerSettings(outages=outages, cold=2_000.0), PartnerSettings(number=8, listed=30.0))
+    scenario = Scenario(partners, streams, 2, lasts=75_000.0, restarts=kills)
+    with tempfile.TemporaryDirectory() as name:
+        played = Rehearsal(scenario, seed, Path(name), OPERATOR)
+        asyncio.run(played.run())
+        clients = played.clients
+        assert clients is not None
+        kept, ids, owed = list[Kept](), set[str](), 0
+        for folder in played.states():
+            some, found, open_ = held(folder)
+            kept, ids, owed = kept + some, ids | found, owed + open_
+        missed = [m for m in clients.messages if m.delivered_at is None]
+        return {"kills": KILLS, "messages": len(clients.messages), "kept": len(kept),
+                "resends": sum(m.resends for m in kept),
+                "delivered by them": sum(m.state is State.DELIVERED for m in kept),
+                "payments held": sum(m.state is State.HELD and m.cls == "order-payment" for m in kept),
+                "effects doubled": clients.count.double, "second ends": clients.count.twice,
+                "kept without a reason": sum(not m.story.reason or not m.evidence for m in kept),
+                "ended, and neither kept nor in a journal":
+                    sum(bool(m.ended_as) and m.id not in ids for m in missed),
+                "taken on, and without an end": sum(m.held for m in missed),
+                "still owed an end in a journal": owed}
+
+
+def over_time(minutes: float) -> None:
+    """The memory of a process that keeps what fails, in an outage of 20 s of each half minute."""
+    outages = tuple(Outage(30_000.0 * n, 30_000.0 * n + 20_000.0, [Mode.REFUSING, Mode.SILENT][n % 2])
+                    for n in range(int(minutes * 2)))
+    lasts = minutes * 60_000.0
+    streams = (Stream("order-payment", 7, 10.0, end=lasts, keys=200, tries=1),
+               Stream("gallery-notice", 7, 20.0, end=lasts, tries=1),
+               Stream("order-payment", 8, 20.0, end=lasts, keys=200, tries=1))
+    scenario = Scenario((PartnerSettings(outages=outages, cold=1_000.0, listed=60.0, capacity=80.0),
+                         PartnerSettings(number=8, listed=60.0, capacity=80.0)), streams, 1, lasts=lasts)
+    with tempfile.TemporaryDirectory() as name:
+        played = Rehearsal(scenario, 1, Path(name), OPERATOR)
+        asyncio.run(played.run())
+        kept, _, _ = held(played.states()[0])
+    assert played.clients is not None
+    click.echo(f"{len(played.clients.messages)} messages, {len(kept)} kept, {sum(m.resends for m in kept)} "
+               f"resends, in {minutes:g} minutes")
+    every = max(1, len(played.memory) // 12)
+    for at, (size, *_) in played.memory[::every]:
+        click.echo(f"after {at / 60_000.0:.1f} minutes: {size / 1e6:.1f} MB")
+    half = [size for at, (size, *_) in played.memory if at > lasts / 2]
+    click.echo(f"in the second half: {min(half) / 1e6:.1f} to {max(half) / 1e6:.1f} MB")
+
+
 def ordinary(on: bool, seed: int) -> float:
     """CPU seconds of a run in which everything is delivered."""
     streams = (Stream("order-payment", 8, 20.0, end=60_000.0, keys=200),
@@ -139,12 +214,19 @@
 @click.option("--runs", type=click.IntRange(1, 1_000), default=10, show_default=True, help="of 20 kills each")
 @click.option("--kept", type=click.IntRange(1_000, 10_000_000), default=100_000, show_default=True)
 @click.option("--pairs", type=click.IntRange(1, 50), default=7, show_default=True, help="of ordinary runs")
-def main(runs: int, kept: int, pairs: int) -> None:
+@click.option("--sockets", is_flag=True, help="only the proof, on real sockets")
+@click.option("--memory", type=click.FloatRange(1, 600), help="only memory, over so many minutes")
+def main(runs: int, kept: int, pairs: int, sockets: bool, memory: float | None) -> None:
     """Print the figures."""
-    with ProcessPoolExecutor() as pool:
-        found = list(pool.map(play, range(1, runs + 1)))
+    if memory is not None:
+        over_time(memory)
+        return
+    with ProcessPoolExecutor(10 if sockets else None) as pool:
+        found = list(pool.map(on_sockets if sockets else play, range(1, runs + 1)))
     for name in found[0]:
         click.echo(f"{name}: {sum(one[name] for one in found)}")
+    if sockets:
+        return
     with ProcessPoolExecutor() as pool:
         pairs_of = list(pool.map(flood, [(count, seed) for seed in range(1, 6) for count in (0, 10_000)]))
     without, released = pairs_of[::2], pairs_of[1::2]
--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
+import signal
 import subprocess
 import sys
 from collections.abc import Callable
@@ -27,17 +29,28 @@
 LEAD = 500.0              # ms from the couriers' readiness to the first message
 CROSSING = 100.0          # ms in which a delivery and a notice may cross, as on the platform
 AFTER = 30_000.0          # ms for what is still held when the last message has been handed in
+SAMPLE = 5_000.0          # ms between two readings of the couriers' memory
+OWN_FOLDER = "@state@"    # in an operator's file: each courier's own lasting folder
+PARENT_DEATH = 1          # PR_SET_PDEATHSIG of prctl(2)
 
 
 class RehearsalError(Exception):
     """A courier could not be started, or has crashed; the message says which."""
 
 
+def _ends_with_its_parent() -> None:
+    """In the child: a rehearsal that is killed leaves no couriers behind, where the system can see to it."""
+    if sys.platform == "linux":
+        ctypes.CDLL(None).prctl(PARENT_DEATH, signal.SIGTERM)
+
+
 class Process:
     """One courier's process, by its own id."""
 
     def __init__(self, folder: Path, me: int, operator: Path | None) -> None:
-        self._folder, self._me, self._operator = folder, me, operator
+        self._folder, self._me, self._told = folder, me, operator
+        self._operator = folder / "operator.sexp"
+        self.state = folder / "state"
         self.port = 0
         self._process: subprocess.Popen[bytes] | None = None
 
@@ -47,22 +60,34 @@
         with socket.socket() as probe:
             probe.bind((HOST, 0))
             self.port = int(probe.getsockname()[1])
-        (self._folder / "state").mkdir(parents=True, exist_ok=True)
+        self.state.mkdir(parents=True, exist_ok=True)
+        if self._told is not None:
+            text = self._told.read_text(encoding="utf-8").replace(OWN_FOLDER, str(self.state))
+            self._operator.write_text(text, encoding="utf-8")
         (self._folder / "config.json").write_text(json.dumps({
             "name": f"n{self._me}", "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{discovery}",
-            "state": str(self._folder / "state"), "seed": f"{self._me + 1:x}",
+            "state": str(self.state), "seed": f"{self._me + 1:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3}, "known": known,
             "settings": wire(platform(scenario.couriers, self._me, **scenario.changes))}))
 
     def start(self) -> None:
         """Begin a life."""
-        words = ["--operator", str(self._operator)] if self._operator is not None else []
+        words = ["--operator", str(self._operator)] if self._told is not None else []
         env = {**os.environ, "ROUTER_CONFIG": str(self._folder / "config.json")}
         for name in ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_STATE"):
             env.pop(name, None)
         with (self._folder / "log").open("ab") as log:
             self._process = subprocess.Popen([sys.executable, "-m", "winchspan", *words], env=env, stderr=log,
-                                             stdout=log)
+                                             stdout=log, preexec_fn=_ends_with_its_parent)
+
+    def resident(self) -> int:
+        """Its memory in bytes; 0 if it is not running, or the system does not tell."""
+        try:
+            pages = (Path("/proc") / str(self._process.pid) / "statm").read_text().split()[1] \
+                if self._process is not None else "0"
+        except (OSError, IndexError):
+            return 0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
     def crashed(self) -> bool:
         """Whether it has ended by itself."""
@@ -92,12 +117,22 @@
 
 
 class Rehearsal:
-    """One scenario against real processes."""
+    """One scenario against real processes.
+
+    `operator` is a file for all couriers; `@state@` in it stands for each one's own folder. After the run
+    `clients` holds what has become of each message, and `memory` readings of ms and the couriers' bytes.
+    """
 
     def __init__(self, scenario: Scenario, seed: int, folder: Path, operator: Path | None = None,
                  show: Callable[[str], None] = lambda line: None) -> None:
         self._scenario, self._seed, self._folder = scenario, seed, folder
         self._operator, self._show = operator, show
+        self.clients: Clients | None = None
+        self.memory: list[tuple[float, list[int]]] = []
+
+    def states(self) -> list[Path]:
+        """The couriers' lasting folders."""
+        return [self._folder / f"n{me}" / "state" for me in range(self._scenario.couriers)]
 
     async def run(self) -> Result:
         """Play it to its end; raises RehearsalError if a courier crashes."""
@@ -135,6 +170,7 @@
             clients = Clients(classes, list(scenario.streams), self._seed, clock, deadlines,
                               crossing=CROSSING)
             clients.submit = desk.submit
+            self.clients = clients
             began = clock.now()
             desk.use(clients)
             discovery.use(clients)
@@ -154,6 +190,8 @@
             end = began + scenario.lasts + AFTER
             while (now := clock.now()) < end and not (now > began + scenario.lasts and clients.settled(now)):
                 await asyncio.sleep(0.25)
+                if not self.memory or now - began - self.memory[-1][0] >= SAMPLE:
+                    self.memory.append((now - began, [courier.resident() for courier in couriers]))
                 for me, courier in enumerate(couriers):
                     if courier.crashed():
                         raise RehearsalError(f"courier n{me} has ended; see {self._folder}/n{me}/log")
