Keep the name of an operator's file in a rehearsal's copy of it

Cause: complaints of a courier named a file that nobody had written. Change: the copy has the name of the original. Result: the test that reads the complaint passes.

--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -49,7 +49,7 @@
 
     def __init__(self, folder: Path, me: int, operator: Path | None) -> None:
         self._folder, self._me, self._told = folder, me, operator
-        self._operator = folder / "operator.sexp"
+        self._operator = folder / (operator.name if operator is not None else "none")
         self.state = folder / "state"
         self.port = 0
         self._process: subprocess.Popen[bytes] | None = None
