--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,7 @@
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
     "winchspan.courier": 2, "winchspan.journal": 2,
     "winchspan.undelivered.store": 2, "winchspan.undelivered.keeper": 2, "winchspan.undelivered.resender": 2,
-    "winchspan.undelivered.desk": 2, "winchspan.undelivered.queries": 2,
+    "winchspan.undelivered.desk": 2, "winchspan.undelivered.trail": 2, "winchspan.undelivered.queries": 2,
     "winchspan.net": 3, "winchspan.control": 3,
     "winchspan.storms.setup": 3, "winchspan.storms.report": 3,      # the half that is no decision
     "winchspan.undelivered.setup": 3,
