--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -218,7 +218,7 @@
         if turned := self._governor.admit(to_ns(now), asked):
             raise Busy(to_ms(turned.retry_after_ns), turned.reason)
         try:
-            number = self._journal.take(message, cls, key, dest, self._clock.unix() + left, token, body)
+            number = self._journal.take(message, cls, key, dest, self._clock.lasting() + left, token, body)
         except JournalFull:
             raise self._no_room(now, asked) from None
         query = Query(number, message, dest, now + left, token, body)
@@ -245,9 +245,10 @@
                           False, self._held)
         if self._governor.admit(to_ns(now), asked) is not None:
             return False
+        ran = None if ran_at is None else ran_at - self._clock.skew
         try:
-            taken = self._journal.take(message, cls, key, dest, self._clock.unix() + left, token, body,
-                                       number, ran_at)
+            taken = self._journal.take(message, cls, key, dest, self._clock.lasting() + left, token, body,
+                                       number, ran)
         except JournalFull:
             return False
         self._add(Query(taken, message, dest, now + left, token, body, resend=number, tried=[]))
@@ -275,7 +276,8 @@
 
     def recover(self) -> None:
         """Take up the open messages of the life before, in the order of their taking."""
-        now, unix = self._clock.now(), self._clock.unix()
+        self._journal.moor(self._clock)
+        now, unix = self._clock.now(), self._clock.lasting()
         if self._journal.last_call:
             ago = max(0.0, unix - self._journal.last_call)
             self._governor.reborn(to_ns(now), to_ns(now - ago))
@@ -283,6 +285,8 @@
             self._journal.ended(sorted(kept))
         for entry in list(self._journal.entries):
             left = entry.deadline - unix
+            if (cls := self._settings.classes.get(entry.cls)) is not None:
+                left = min(left, LONGEST * to_ms(cls.deadline_ns))   # clocks of two boots may differ
             query = Query(entry.number, entry.id, entry.dest, now + left, entry.token, entry.body,
                           attempts=entry.attempts, tried=None if self._keeper is None else [],
                           resend=entry.resend)
@@ -382,7 +386,7 @@
             self._out += 1
             logger.debug("to {}: {}", name, [(query.id, query.attempts) for query, _ in part])
             numbers = [query.number for query, _ in part]
-            if not self._journal.started(numbers, name, zone, self._clock.unix()):
+            if not self._journal.started(numbers, name, zone, self._clock.lasting()):
                 # Without a record a restart would not know that it may have run: it does not go.
                 unsent = [Verdict(api.Outcome.NOT_SENT)] * len(part)
                 self._soon(lambda e=execution, v=unsent: self._returned(e, v))   # type: ignore[misc]
--- a/winchspan/emulator/auditor.py
+++ b/winchspan/emulator/auditor.py
@@ -65,7 +65,7 @@
     deadline: int
     taken: bool = False
     over: bool = False        # delivered, or its notice answered, or not taken on
-    delivered: bool = False
+    delivered_at: int = 0     # when that was heard; 0: not yet
     noticed: str = ""         # the end that a notice has told
     heard_at: int = 0         # when that notice was answered
     out: int = 0              # the connection that has a call with it; 0: none
@@ -89,10 +89,15 @@
 
     name: str
     up_at: int = 0
+    down_at: int = 0
     alive: bool = False
     hosts: dict[str, Told] = field(default_factory=dict)
     waits: dict[int, tuple[int, int]] = field(default_factory=dict)   # destination: from when, until when
 
+    def may_have_missed(self, at: int) -> bool:
+        """Whether what reached its system then may not have been read before its life ended."""
+        return self.down_at - CROSSING <= at <= self.down_at
+
 
 class _ClientSide:
     """A connection that a client has opened to a courier."""
@@ -212,8 +217,10 @@
         self.messages = []
 
     def over(self, ns: int, by_courier: bool) -> None:
+        # One message is delivered by a first line with 200, whatever becomes of the rest.
+        told = len(self.messages) == 1 and self._in.status == 200
         for m in self.messages:
-            self._audit.came_back(m, self._began, "error" if self.whole else "later")
+            self._audit.came_back(m, self._began, "ok" if told else "error" if self.whole else "later")
         self.messages = []
 
 
@@ -247,6 +254,7 @@
     def died(self, place: str) -> None:
         """A courier's life is over, or it has been told to end."""
         self._seats[place].alive = False
+        self._seats[place].down_at = self._now()
 
     def opened(self, end: End, port: int) -> None:
         """An end has been opened."""
@@ -305,7 +313,7 @@
         if reply[:1] in "+$":
             m.taken = True
             self.taken += 1
-            if m.delivered:
+            if m.delivered_at:
                 self._is_over(m)
             return
         found = BUSY.fullmatch(reply)
@@ -379,7 +387,7 @@
         if state in ("ok", "error") and m.ran_at is None:
             m.ran_at = began
         if state == "ok":
-            m.delivered = True
+            m.delivered_at = self._now()
             self._is_over(m)
         elif state == "gone":
             self._is_over(m)
@@ -397,7 +405,7 @@
         m = self._known.get(id_)
         if m is None:
             self.breach("end", id_, ns, "a notice for a message that nobody has handed in, or long over")
-        elif m.delivered:
+        elif m.delivered_at and not seat.may_have_missed(m.delivered_at):
             self.breach("end", id_, ns, f"told as {state} after its delivery was heard")
         elif m.noticed and m.noticed != state:
             self.breach("end", id_, ns, f"told as {state} after {m.noticed}")
--- a/winchspan/emulator/emulation.py
+++ b/winchspan/emulator/emulation.py
@@ -23,7 +23,8 @@
 from winchspan.standins.rehearsal import Process, Rehearsal
 from winchspan.standins.scenario import Scenario
 
-OUTSIDE = "outside"       # where clients and discovery stand
+OUTSIDE = "outside"       # where clients stand
+AGENT = "agent"           # of discovery: on each courier's own machine
 SWEEP = 0.1               # s between two looks for ends that are overdue
 STARTING = 150.0          # ms from a process's start to its first line of our code
 
@@ -104,10 +105,14 @@
     def start(self) -> None:
         """Begin a life, some time from now."""
         loop = self.machine.network.loop
+        if self._starts is not None:
+            self._starts.cancel()
         self._starts = loop.call_later(STARTING / 1_000.0, self._begin)
 
     def _begin(self) -> None:
         self._starts = None
+        if self.machine.running or self.machine.dark:
+            return                            # two troubles met; who comes last starts it
         environ = {"ROUTER_CONFIG": str(self._folder / "config.json")}
         operator: Operator = load_operator(self._operator) if self._told is not None else {}
         life = self.machine.begin()
@@ -219,6 +224,10 @@
         self._processes.append(EmulatedProcess(folder, me, self._operator, machine, self.auditor))
         return self._processes[-1]
 
+    def agent(self, port: int) -> None:
+        """It stands at a place of its own, which is never cut off."""
+        self.network.name(port, AGENT)
+
     def endpoint(self, partner: int, port: int) -> None:
         """An endpoint stands at its partner's place."""
         self.network.name(port, partner_place(partner))
--- a/winchspan/emulator/wire.py
+++ b/winchspan/emulator/wire.py
@@ -127,6 +127,13 @@
         """Whether nothing of a message has come."""
         return self.begun is None and not self._buffer
 
+    @property
+    def status(self) -> int:
+        """Of the answer that is not whole, as soon as its first line is; 0 before."""
+        first = self.begun.first if self.begun is not None else bytes(
+            self._buffer[:max(0, self._buffer.find(b"\r\n"))]).decode("latin-1").split()
+        return int(first[1]) if len(first) > 1 and first[1].isdigit() else 0
+
     def _head(self) -> bool:
         end = self._buffer.find(b"\r\n\r\n")
         if end < 0:
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -20,6 +20,8 @@
 
 from loguru import logger
 
+from winchspan.clock import Clock
+
 _HEAD = Struct("<II")
 _MAX_RECORD = 256 * 1024
 _FIT = 0.95               # part of the folder's limit that is used: files count in whole 512 bytes
@@ -33,7 +35,7 @@
 
 @dataclass(slots=True)
 class Entry:
-    """An open message as the journal knows it; all times are Unix milliseconds."""
+    """An open message as the journal knows it; all times are Unix milliseconds of `Clock.lasting`."""
 
     number: int               # the order of taking
     id: str
@@ -84,12 +86,34 @@
         self._entries: dict[int, Entry] = {}
         self._live = 0             # bytes of a file written anew
         self._next = 1
+        self._anchor: tuple[str, float] | None = None   # a boot, and how far its lasting time is ahead
         self.last_call = 0.0       # when the latest execution began, Unix ms; 0: none is known of
         self._new.unlink(missing_ok=True)   # a rewriting that the last process did not finish
         self._fd = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         self._size = self.found = self._recover()   # bytes that the life before left
         self._rewrite()
 
+    def moor(self, clock: Clock) -> None:
+        """Let the clock's lasting time go on as the records of this boot have it, or note it for later lives.
+
+        Guards against a wall clock that was set between two lives: what they left undone would get as much
+        more time, and what may have run would be sent again after its dedup window.
+        """
+        if self._anchor is not None and clock.boot and self._anchor[0] == clock.boot:
+            if abs(clock.ahead - self._anchor[1]) > 1_000.0:
+                logger.warning("journal: the wall clock was set by {:.1f} s since this boot's first start",
+                               (clock.ahead - self._anchor[1]) / 1_000.0)
+            clock.ahead = self._anchor[1]
+            return
+        if self.last_call > clock.lasting():
+            # A new boot whose wall clock stands before the last call: that is the least that it must be.
+            logger.warning("journal: the wall clock is {:.1f} s before the last call",
+                           (self.last_call - clock.lasting()) / 1_000.0)
+            clock.ahead += self.last_call - clock.lasting()
+        if clock.boot:
+            self._anchor = clock.boot, clock.ahead
+            self._append(_record({"t": "clock", "boot": clock.boot, "ahead": clock.ahead}))
+
     @property
     def entries(self) -> Iterable[Entry]:
         """The open messages in the order of taking."""
@@ -188,6 +212,8 @@
             self._entries[entry.number] = entry
             self._resize(entry, size)
             self._next = max(self._next, entry.number + 1)
+        elif kind == "clock":
+            self._anchor = str(fields["boot"]), float(fields["ahead"])
         elif kind == "last":
             self.last_call = max(self.last_call, float(fields["at"]))
         elif kind == "started":
@@ -253,6 +279,8 @@
         """Write the open messages to a new file and put it in the old one's place."""
         pieces = {e.number: b"".join(e.records()) for e in self.entries}
         last = _record({"t": "last", "at": self.last_call}) if self.last_call else b""
+        if self._anchor is not None:
+            last += _record({"t": "clock", "boot": self._anchor[0], "ahead": self._anchor[1]})
         total = sum(len(piece) for piece in pieces.values()) + len(last)
         if total >= self._size or self._size + total > self._limit * _FIT:
             return
--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -132,6 +132,8 @@
         self._scenario, self._seed, self._folder = scenario, seed, folder
         self._operator, self._show = operator, show
         self.clients: Clients | None = None
+        self.partners: dict[int, Partner] = {}
+        self.began = 0.0          # a reading of the run's clock, ms
         self.memory: list[tuple[float, list[int]]] = []
 
     def clock(self) -> Clock:
@@ -142,6 +144,9 @@
         """One courier, not started."""
         return Process(folder, me, self._operator)
 
+    def agent(self, port: int) -> None:
+        """Discovery, and who takes notices, listens on a port: PROTOCOL has it on the courier's machine."""
+
     def endpoint(self, partner: int, port: int) -> None:
         """An endpoint of a partner listens on a port."""
 
@@ -161,7 +166,9 @@
         idle = Clients({}, [], 0, clock, deadlines)
         discovery = Discovery(idle, self._show)
         await discovery.server.start()
+        self.agent(discovery.server.port)
         partners = {p.number: Partner(replace(p, outages=()), clock, deadlines) for p in scenario.partners}
+        self.partners = partners
         endpoints = {number: [Endpoint(partner, idle, self._show)] for number, partner in partners.items()}
         for number, (endpoint,) in endpoints.items():
             await endpoint.server.start()
@@ -189,7 +196,7 @@
             clients = Clients(classes, list(scenario.streams), self._seed, clock, deadlines,
                               crossing=CROSSING)
             clients.submit = desk.submit
-            self.clients = clients
+            self.clients, self.began = clients, clock.now()
             began = clock.now()
             self.begins(deadlines, began)
             desk.use(clients)
--- a/winchspan/standins/sockets.py
+++ b/winchspan/standins/sockets.py
@@ -256,7 +256,10 @@
                 reader, writer = link or await asyncio.open_connection(HOST, port)
                 writer.write(raw)
                 line = await asyncio.wait_for(reader.readline(), ANSWER_WITHIN)
-            except (OSError, TimeoutError):
+            except TimeoutError:
+                writer.transport.abort()      # it may be on its way still: not sent once more under this id
+                break
+            except OSError:
                 line = b""
             if line:
                 self._idle.setdefault(port, []).append((reader, writer))
--- a/winchspan/undelivered/keeper.py
+++ b/winchspan/undelivered/keeper.py
@@ -81,8 +81,9 @@
         """Why a message ends, as it goes into the journal with its notice."""
         told, now = tuple(Attempt(*one) for one in tried), self._clock.unix()
         cls = self._platform.classes[entry.cls]
-        why = evidence.reason(now, entry.deadline, entry.attempts, self._platform.max_attempts, entry.ran_at,
-                              cls, 2 * self._platform.step_ns / 1e6 + 50.0)
+        why = evidence.reason(self._clock.lasting(), entry.deadline, entry.attempts,
+                              self._platform.max_attempts, entry.ran_at, cls,
+                              2 * self._platform.step_ns / 1e6 + 50.0)
         found = Story(why, now, told, max(0, entry.attempts - len(told)), Seen(**seen))
         plain: dict[str, Any] = msgspec.to_builtins(found)
         return plain
@@ -120,13 +121,17 @@
         found, words = evidence.ran(story.attempts, story.earlier, entry.ran_at)
         effect = self._platform.classes[entry.cls].effect if entry.cls in self._platform.classes else None
         held = found is Ran.MAY and effect is not api.Effect.REPEATABLE
-        ran_at = entry.ran_at
+        ran_at = self._wall(entry.ran_at)
         if found is Ran.MAY and ran_at is None:
             ran_at = story.attempts[-1].at if story.attempts else story.at
         return Kept(entry.id, entry.deadline, entry.cls, entry.dest, entry.key, entry.token, entry.body,
                     entry.notice or "failed", story, found, words, ran_at,
                     State.HELD if held else State.KEPT)
 
+    def _wall(self, at: float | None) -> float | None:
+        """A time of the journal's as the wall clock has it now: the store outlasts boots."""
+        return None if at is None else at + self._clock.skew
+
     def _read(self, entry: Entry) -> Story:
         """The story that the journal holds; without one it is told that there is none."""
         try:
@@ -139,7 +144,7 @@
     def resent(self, entry: Entry, delivered: bool, story: dict[str, Any] | None,
                done: Callable[[], None]) -> None:
         """A resend has ended: delivered, or kept again with its further attempts."""
-        number, now = entry.resend, self._clock.unix()
+        number, now, ran = entry.resend, self._clock.unix(), self._wall(entry.ran_at)
 
         def settle(store: Store) -> bool:
             m = store.get(number)
@@ -156,7 +161,7 @@
             if m.ran is Ran.MAY and not m.released:
                 found, words = m.ran, m.evidence
             held = found is Ran.MAY and self._effect(m.cls)
-            ran_at = m.ran_at if m.ran_at is not None and not m.released else entry.ran_at
+            ran_at = m.ran_at if m.ran_at is not None and not m.released else ran
             if found is Ran.MAY and ran_at is None:
                 ran_at = now
             store.change(number, State.RESENDING, state=State.HELD if held else State.KEPT, story=told,
