--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,160 @@
+"""The experiment tool: files, runs that are kept, comparisons, pictures, and the hunt for bad days."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import numpy as np
+import polars as pl
+import pytest
+from click.testing import CliRunner
+
+from winchspan.emulator.emulation import Trouble
+from winchspan.journal import Journal
+from winchspan.lab import store
+from winchspan.lab.__main__ import main as lab
+from winchspan.lab.compare import compare, interval
+from winchspan.lab.experiment import Point, load, parse, text_of
+from winchspan.lab.hunt import Day, draw, judge, shrink
+from winchspan.lab.play import play
+from winchspan.lab.store import LabError, Results
+from winchspan.operator.reader import OperatorError
+
+REGRESSIONS = sorted((Path(__file__).parent / "regressions").glob("*.sexp"))
+SMALL = """
+(experiment (seconds 12) (loads 0.5 0.9) (couriers 2) (seeds 2))
+(partner (outage 3 7) (cold 2))
+(variant "off") (variant "on" (operator "storms.sexp"))
+"""
+
+
+@pytest.fixture(scope="module")
+def folder(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """A folder with a small experiment that has been run by the command."""
+    found = tmp_path_factory.mktemp("lab")
+    (found / "storms.sexp").write_text("(storms (on yes))")
+    (found / "small.sexp").write_text(SMALL)
+    done = CliRunner().invoke(lab, ["run", str(found / "small.sexp"), str(found / "out"), "--workers", "2"])
+    assert done.exit_code == 0 and "8 runs, 8 of them new" in done.output, done.output
+    return found
+
+
+def test_tables_hold_a_row_for_each_run_window_cause_and_quantile(folder: Path):
+    results = Results(folder / "out")
+    runs = results.table("run")
+    assert len(runs) == 8 and set(runs["variant"]) == {"off", "on"} and runs["breaches"].sum() == 0
+    windows, causes = results.table("windows"), results.table("causes")
+    assert windows["at"].unique().sort().to_list() == [0.0, 10_000.0]
+    lost = windows["asked"].sum() - windows["got"].sum()
+    assert lost > 10 and causes["worth"].sum() == pytest.approx(lost), "each loss has a cause"
+    p50 = results.table("latencies").filter(pl.col("quantile") == 50.0)
+    assert p50["ms"].min() >= 200.0  # type: ignore[operator]
+
+
+def test_a_run_that_is_kept_is_not_played_again_and_one_that_is_lost_is(folder: Path,
+                                                                        monkeypatch: pytest.MonkeyPatch):
+    results, experiment = Results(folder / "out"), load(folder / "small.sexp")
+    before = results.table("run")
+    assert results.play(experiment, 1) == 0
+    next((folder / "out" / "runs").iterdir()).unlink()
+    assert results.play(experiment, 1) == 1 and results.table("run").equals(before), "the same run again"
+    monkeypatch.setattr(store, "code_hash", lambda: "other code")
+    assert len(results.missing(experiment.points, "other code")) == 8
+    broken = next((folder / "out" / "runs").iterdir())
+    kept = broken.read_bytes()
+    monkeypatch.undo()
+    broken.write_bytes(b"{")
+    with pytest.raises(LabError, match="cannot be read"):
+        results.play(experiment, 1)
+    broken.write_bytes(kept)
+
+
+def test_comparing_pairs_by_seed_and_says_how_sure_it_is(folder: Path):
+    words = ["compare", str(folder / "out"), "off", "on", "--measure", "most_a_second"]
+    done = CliRunner().invoke(lab, words)
+    assert done.exit_code == 0 and done.output.count("pairs of 2") == 2, done.output
+    unknown = CliRunner().invoke(lab, ["compare", str(folder / "out"), "off", "none"])
+    assert unknown.exit_code == 2 and "no variant 'none'; there are off, on" in unknown.output
+
+
+def test_an_interval_holds_the_mean_as_often_as_it_says():
+    rng, held = np.random.default_rng(4), 0
+    for trial in range(200):
+        low, high = interval(rng.normal(1.0, 2.0, 30), trial)
+        held += low <= 1.0 <= high
+    assert 180 <= held <= 199, "95% in theory, a little less with 30 pairs"
+
+
+def test_runs_without_a_partner_are_left_out_of_a_comparison():
+    a = pl.DataFrame({"load": [1.0, 1.0], "couriers": [3, 3], "seed": [1, 2], "worth": [0.5, 0.7]})
+    b = pl.DataFrame({"load": [1.0], "couriers": [3], "seed": [2], "worth": [0.9]})
+    (found,) = compare(a, b, "worth")
+    assert (found.pairs, round(found.difference, 6), found.sure) == (1, 0.2, True)
+
+
+def test_a_report_is_a_page_with_its_pictures(folder: Path):
+    done = CliRunner().invoke(lab, ["report", str(folder / "out")])
+    assert done.exit_code == 0, done.output
+    page = (folder / "out" / "report.html").read_text()
+    pictures = sorted(path.name for path in (folder / "out").glob("*.png"))
+    assert len(pictures) >= 4 and all(f'src="{name}"' in page for name in pictures)
+    assert "on less off" in page and "no rule was broken" in page
+
+
+@pytest.mark.parametrize(("text", "complaint"), [
+    ("(experiment (seconds 0))", "x.sexp:1:22: experiment.seconds: expected 1 to 86400 s, not 0"),
+    ("(experiment (loads))", "experiment.loads: expected at least one number"),
+    ("(partner (outage 3))", "partner.outage: expected two numbers, not 1"),
+    ('(trouble "a" (what cut))', "trouble.target of 'a': a cut goes from one place to another"),
+    ('(trouble "a" (what vanish) (source "n7"))', "trouble.source of 'a': there is no courier 'n7'"),
+    ('(variant "a" (operator "none.sexp"))', "variant.operator of 'a': cannot read none.sexp")])
+def test_a_faulty_file_is_told_in_one_line(tmp_path: Path, text: str, complaint: str):
+    (tmp_path / "x.sexp").write_text(text)
+    with pytest.raises(OperatorError, match=complaint.replace("(", r"\(")):
+        load(tmp_path / "x.sexp")
+    done = CliRunner().invoke(lab, ["run", str(tmp_path / "x.sexp"), str(tmp_path / "out")])
+    assert done.exit_code == 2 and done.output.count("\n") == 1
+
+
+# ---- the hunt --------------------------------------------------------------------------------------------
+def base() -> Point:
+    text = "(experiment (seconds 20) (loads 0.8) (couriers 2) (seeds 1))(partner (outage 5 10))"
+    return parse(text, "x.sexp", Path()).points[0]
+
+
+def test_a_day_that_was_drawn_can_be_written_down_and_read_again():
+    for number in range(20):
+        point = draw(base(), 3, number)
+        again = parse(text_of(point, "found"), "x.sexp", Path()).points[0]
+        assert replace(again, variant=point.variant) == point
+        assert draw(base(), 3, number) == point
+
+
+def test_shrinking_keeps_what_matters_and_drops_the_rest():
+    def judged(point: Point) -> Day:
+        bad = any(t.what == "reset" and t.source == "n0" for t in point.around.troubles) and point.seconds > 7
+        return Day(point, ("order",) if bad else (), 0.5)
+
+    number = next(n for n in range(200) if judged(draw(base(), 5, n)).fails
+                  and len(draw(base(), 5, n).around.troubles) > 3)
+    found = shrink(judged(draw(base(), 5, number)), judged)
+    assert [t.what for t in found.point.around.troubles] == ["reset"] and found.point.couriers == 1
+    assert found.fails and found.point.seconds < 10 and not found.point.partner.outages
+
+
+def test_a_crash_of_what_is_played_is_a_bad_day():
+    day = judge(replace(base(), around=replace(base().around, troubles=(Trouble(100.0, "vanish", "n9"),))))
+    assert day.fails and day.broken[0].startswith("crash: EmulationError")
+
+
+@pytest.mark.parametrize("path", REGRESSIONS, ids=lambda path: path.stem)
+def test_days_that_once_went_wrong_go_well(path: Path):
+    for point in load(path).points:
+        assert play(point).breaches == []
+
+
+def test_the_clock_set_back_is_a_bad_day_for_a_journal_that_believes_it(monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(Journal, "moor", lambda self, clock: None)
+    (path,) = (path for path in REGRESSIONS if path.stem == "clock-set-back")
+    assert "end" in judge(load(path).points[0]).broken
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -24,7 +24,7 @@
     "winchspan.undelivered.setup": 3,
     "winchspan.adapter": 4, "winchspan.__main__": 4,
     "winchspan.standins": 5,
-    "winchspan.cli": 6, "winchspan.emulator": 6,
+    "winchspan.cli": 6, "winchspan.emulator": 6, "winchspan.lab": 7,
 }
 PURE = {module for module, number in FLOORS.items() if number == 1} | {"winchspan.interface"}
 PURE_MAY = {"__future__", "bisect", "collections", "collections.abc", "dataclasses", "enum", "heapq",
