--- a/benchmarks/undelivered.py
+++ b/benchmarks/undelivered.py
@@ -111,7 +111,7 @@
                 "effects doubled": clients.count.double, "second ends": clients.count.twice,
                 "kept without a reason": sum(not m.story.reason or not m.evidence for m in kept),
                 "ended, and neither kept nor in a journal":
-                    sum(bool(m.ended_as) and m.id not in ids for m in missed),
+                    sum(bool(m.ended_as) and m.id not in ids for m in clients.messages),
                 "taken on, and without an end": sum(m.held for m in missed),
                 "still owed an end in a journal": owed}
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,12 +17,14 @@
 
 from winchspan.clock import Clock
 from winchspan.deadlines import Deadlines
-from winchspan.emulator.emulation import Emulated, Emulation, Surroundings, Trouble
+from winchspan.emulator.emulation import Emulated, Emulation, EmulationError, Surroundings, Trouble
 from winchspan.emulator.loop import EmulatedLoop, Stuck
 from winchspan.emulator.machine import Life, Machine
 from winchspan.emulator.network import WINDOW, Network, Way
-from winchspan.standins.partner import PartnerSettings
-from winchspan.standins.scenario import storm_scenario
+from winchspan.standins.partner import Mode, Outage, PartnerSettings
+from winchspan.standins.scenario import Scenario, storm_scenario
+from winchspan.undelivered.record import Kept, State
+from winchspan.undelivered.store import FILE, Bounds, Filter, Store
 
 ROOT = Path(__file__).parent.parent
 
@@ -246,6 +249,37 @@
     assert found[0] == found[1] and len(found[0]) > 64
 
 
+KEPT = """(undelivered (on yes) (folder "@state@"))
+(resend "at once" (ran never may) (after 0) (before 31536000) (rate 1000) (backoff 0) (most 9))"""
+
+
+def test_kept_messages_go_again_through_kills_and_nothing_is_doubled_or_lost(tmp_path: Path):
+    (tmp_path / "kept.sexp").write_text(KEPT)
+    partner = PartnerSettings(outages=(Outage(2_000.0, 9_000.0, Mode.REFUSING),), cold=2_000.0)
+    streams = tuple(replace(s, tries=1) for s in storm_scenario(0.8, lasts=12_000.0).streams)
+    kills = tuple((1_500.0 + 1_303.0 * n, n % 2) for n in range(12))
+    scenario = Scenario((partner, PartnerSettings(number=8)), streams, 2, lasts=30_000.0, restarts=kills)
+    played = Emulation(scenario, 4, tmp_path, tmp_path / "kept.sexp",
+                       surroundings=Surroundings(Way(0.5, 1.0), torn=True))
+    found = played.play()
+    kept = list[Kept]()
+    for folder in played.states():
+        store = Store(folder / FILE, Bounds(), read_only=True)
+        kept += store.find(Filter(), 100_000)
+        store.close()
+    assert played.clients is not None
+    ended = {m.id for m in played.clients.messages if m.ended_as}
+    assert len(ended) > 30 and ended <= {m.id for m in kept}
+    assert sum(m.state is State.DELIVERED for m in kept) > 20
+    assert (found.result.double, found.result.twice, found.counts["copy"], found.counts["repeat"]) == (0,) * 4
+
+
+def test_a_control_socket_is_not_emulated(tmp_path: Path):
+    (tmp_path / "x.sexp").write_text('(control (on yes) (socket "@state@/s"))')
+    with pytest.raises(EmulationError, match="control.on"):
+        Emulation(storm_scenario(), 1, tmp_path, tmp_path / "x.sexp").play()
+
+
 def test_another_seed_is_another_run(tmp_path: Path):
     for name in "ab":
         (tmp_path / name).mkdir()
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -117,7 +117,8 @@
             return None
         from winchspan.undelivered.setup import keeper
 
-        self._keeper = keeper(values, settings, self._clock, self._loop.call_soon_threadsafe)
+        make = self._system.keeper or keeper
+        self._keeper = make(values, settings, self._clock, self._loop.call_soon_threadsafe)
         return self._keeper
 
     def _resend(self, keeper: Keeper) -> None:
@@ -140,7 +141,8 @@
 
     def crash(self) -> None:
         """Let go of the journal's file as the system does when a process dies; for emulated machines."""
-        self._journal.close()
+        if not self._done.is_set():
+            self._journal.close()
 
     async def run(self) -> None:
         """Serve until told to stop."""
--- a/winchspan/emulator/emulation.py
+++ b/winchspan/emulator/emulation.py
@@ -98,6 +98,12 @@
         self._starts: asyncio.TimerHandle | None = None
         self.buried: list[asyncio.Task[Any]] = []
 
+    def configure(self, scenario: Scenario, discovery: int, known: dict[str, object]) -> None:
+        """As a process's; raises EmulationError for what is not emulated."""
+        super().configure(scenario, discovery, known)
+        if self._told is not None and load_operator(self._operator)["control"]["on"]:
+            raise EmulationError(f"{self._told}: control.on: has a socket of the real system")
+
     def free_port(self) -> int:
         """A port of the emulated network."""
         return self.machine.network.free_port()
@@ -160,7 +166,7 @@
         self._auditor.died(self.machine.place)
 
         def over(_: object) -> None:
-            life.end(killed=False)
+            life.end()
             self.buried += life.bury()
             self.machine.network.loop.call_later(back / 1_000.0, self.start)
         task.add_done_callback(over)
@@ -192,10 +198,6 @@
                  show: Callable[[str], None] = lambda line: None,
                  surroundings: Surroundings | None = None) -> None:
         super().__init__(scenario, seed, folder, operator, show)
-        told = load_operator(operator) if operator is not None else {}
-        for section in ("undelivered", "control"):
-            if told.get(section, {}).get("on"):
-                raise EmulationError(f"{operator}: {section}.on: has a thread or a socket of the real system")
         self._round = surroundings or Surroundings()
         self._loop = EmulatedLoop()
         self.network = Network(self._loop, seed, self._round.way, self._round.torn)
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine, Mapping
 from contextvars import Context
 from typing import Any
@@ -10,7 +11,10 @@
 from winchspan.clock import Clock
 from winchspan.emulator.loop import EmulatedLoop
 from winchspan.emulator.network import HOST, EmulatedListener, End, Network
+from winchspan.interface import Settings
+from winchspan.standins.inline import InlineKeeper
 from winchspan.system import Listener, System
+from winchspan.undelivered.setup import keep_settings
 
 UNIX = 1_700_000_000_000.0    # ms: wall time at the loop's first reading
 
@@ -60,6 +64,7 @@
         self.network, self.place = network, place
         self.clock = MachineClock(network.loop, drift, ahead)
         self.life: Life | None = None
+        self.lives = 0
 
     @property
     def running(self) -> bool:
@@ -75,6 +80,7 @@
         """Begin a life; the one before must be over."""
         assert not self.running
         self.clock.begin()
+        self.lives += 1
         self.life = Life(self)
         return self.life
 
@@ -100,6 +106,16 @@
     def __init__(self, life: Life, environ: Mapping[str, str]) -> None:
         super().__init__(life.machine.clock, environ)
         self._life = life
+        self.keeper = self._keeper
+
+    def _keeper(self, values: Mapping[str, Any], settings: Settings, clock: Clock,
+                soon: object) -> InlineKeeper:
+        """A keeper in virtual time, whose store is closed when the life ends."""
+        life, draw = self._life, random.Random(self._life.number)
+        found = InlineKeeper(lambda ms, call: life.call_later(ms / 1_000.0, call), draw,
+                             keep_settings(values), settings, clock)
+        life.at_end(found.stop)
+        return found
 
     def listen(self, host: str, port: int) -> Listener:
         """Listen on the emulated network."""
@@ -114,6 +130,7 @@
 
     def __init__(self, machine: Machine) -> None:
         self.machine, self.place, self.alive = machine, machine.place, True
+        self.number = machine.lives
         self._net, self._loop = machine.network, machine.network.loop
         self._ends: list[End] = []
         self._listeners: list[EmulatedListener] = []
@@ -126,8 +143,8 @@
         """Do something when it ends, as the system would: close files."""
         self._on_end.append(action)
 
-    def end(self, killed: bool = True) -> None:
-        """It is over; a program that has ended by itself has closed its files."""
+    def end(self) -> None:
+        """It is over."""
         if not self.alive:
             return
         self.alive = False
@@ -135,7 +152,7 @@
             listener.close()
         for end in self._ends:
             end.dead()
-        for action in self._on_end if killed else ():
+        for action in self._on_end:
             action()
 
     def bury(self) -> list[asyncio.Task[Any]]:
--- a/winchspan/lab/play.py
+++ b/winchspan/lab/play.py
@@ -50,7 +50,8 @@
         names | result | {"trace": found.trace, "events": found.events,
                           "breaches": sum(found.counts.values())}
         | {f"broken_{rule}": count for rule, count in found.counts.items()},
-        [names | row for row in windows(clients, calls, emulation.began, point.seconds * 1_000.0)],
+        [names | {"listed": point.partner.listed} | row
+         for row in windows(clients, calls, emulation.began, point.seconds * 1_000.0)],
         [names | row for row in causes(clients)], [names | row for row in latencies(clients)],
         [names | {"rule": b.rule, "message": b.message, "at": b.at - emulation.began, "evidence": b.evidence}
          for b in found.breaches])
--- a/winchspan/lab/report.py
+++ b/winchspan/lab/report.py
@@ -98,6 +98,8 @@
             pl.col("calls").mean()).sort("at")
         axes.plot([second / 1_000.0 + 5.0 for second in rows["at"]], rows["calls"], color=colour, marker="o",
                   label=variant)
+    axes.axhline(float(mine["listed"].max()), color="#555", linestyle="--", linewidth=1,  # type: ignore[arg-type]
+                 label="listed")
     axes.set_ylim(bottom=0.0)
     axes.legend(frameon=False)
     return _save(figure, path)
--- /dev/null
+++ b/winchspan/standins/inline.py
@@ -0,0 +1,42 @@
+"""The keeper of undelivered messages without its thread, for virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from winchspan import interface as api
+from winchspan.clock import Clock
+from winchspan.undelivered.keeper import Job, Keeper, KeepSettings
+from winchspan.undelivered.store import Store
+
+SLOWEST = 20.0            # ms that the store takes for a change, and as much to tell of it
+
+
+class InlineKeeper(Keeper):
+    """Each job takes some time before and after it is done, in which a courier can be killed."""
+
+    def __init__(self, later: Callable[[float, Callable[[], None]], object], draw: random.Random,
+                 settings: KeepSettings, platform: api.Settings, clock: Clock) -> None:
+        """Make a keeper; `later` calls back after some ms, unless the life is over by then."""
+        self._later, self._draw = later, draw
+        self._store: Store | None = None
+        super().__init__(settings, platform, clock, lambda call: None)
+
+    def _work(self) -> None:
+        return
+
+    def _put(self, job: Job) -> None:
+        self._later(self._draw.uniform(0.0, SLOWEST), lambda: self._run(job))
+
+    def _run(self, job: Job) -> None:
+        self._store = self._store or self._open()
+        if job.kept is not None:
+            self._store.keep([job.kept], self._clock.unix())
+        found = None if job.kept is not None else job.run(self._store)
+        self._later(self._draw.uniform(0.0, SLOWEST), lambda: job.then(found))
+
+    def stop(self) -> None:
+        """The process is gone."""
+        self._shut(self._store)
+        self._store = None
--- a/winchspan/standins/twin.py
+++ b/winchspan/standins/twin.py
@@ -19,13 +19,14 @@
 from winchspan.journal import Journal
 from winchspan.standins.audit import Result, result
 from winchspan.standins.clients import Clients, Message
+from winchspan.standins.inline import InlineKeeper
 from winchspan.standins.partner import Partner, Reply
 from winchspan.standins.platform import KIND, SECOND_NS, platform
 from winchspan.standins.scenario import Front, Scenario
 from winchspan.storms.governor import StormGovernor
-from winchspan.undelivered.keeper import Job, Keeper, KeepSettings
+from winchspan.undelivered.keeper import KeepSettings
 from winchspan.undelivered.resender import Resender
-from winchspan.undelivered.store import FILE, Bounds, Store
+from winchspan.undelivered.store import FILE, Bounds
 
 WAY = 1.0                 # ms from one party to another
 CLIENT_WAITS = 400.0      # ms for a courier's answer
@@ -46,35 +47,6 @@
         return self._world.add(at, guarded)
 
 
-class _InlineKeeper(Keeper):
-    """A keeper without a thread: the store takes some time, in which a courier can be killed."""
-
-    SLOWEST = 20.0            # ms
-
-    def __init__(self, life: _Life, draw: random.Random, settings: KeepSettings, platform: api.Settings,
-                 clock: SetClock) -> None:
-        self._life, self._draw = life, draw
-        self._store: Store | None = None
-        super().__init__(settings, platform, clock, lambda call: None)
-
-    def _work(self) -> None:
-        return
-
-    def _put(self, job: Job) -> None:
-        self._life.add(self._clock.now() + self._draw.uniform(0.0, self.SLOWEST), lambda: self._run(job))
-
-    def _run(self, job: Job) -> None:
-        self._store = self._store or self._open()
-        if job.kept is not None:
-            self._store.keep([job.kept], self._clock.unix())
-        found = None if job.kept is not None else job.run(self._store)
-        self._life.add(self._clock.now() + self._draw.uniform(0.0, self.SLOWEST), lambda: job.then(found))
-
-    def stop(self) -> None:
-        """The process is gone."""
-        self._shut(self._store)
-
-
 class _Call:
     """A call on its way, or at the partner."""
 
@@ -126,10 +98,10 @@
             now = to_ns(world.clock.now())
             self.governor = StormGovernor(settings, replace(scenario.storms, seed=seed),
                                           RecentKeys(now, 20_000, 30 * SECOND_NS), CountMin())
-        self.keeper: _InlineKeeper | None = None
+        self.keeper: InlineKeeper | None = None
         if scenario.resends is not None:
             where = KeepSettings(self._folder / FILE, Bounds())
-            self.keeper = _InlineKeeper(self._life, random.Random(seed), where, settings, world.clock)
+            self.keeper = InlineKeeper(self._life.after, random.Random(seed), where, settings, world.clock)
         life = self._life
         self.courier = Courier(settings, seed, world.clock, life, self._journal, self, self,
                                lambda action: life.add(world.clock.now(), action), self.governor, self.keeper)
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -30,6 +30,7 @@
 
     def __init__(self, clock: Clock | None = None, environ: Mapping[str, str] = os.environ) -> None:
         self.clock, self.environ = clock or Clock(), environ
+        self.keeper: Any = None       # makes the keeper of undelivered messages, where it may have no thread
 
     def listen(self, host: str, port: int) -> Listener:
         """Listen for clients at an address; raises OSError."""
