--- a/winchspan/emulator/auditor.py
+++ b/winchspan/emulator/auditor.py
@@ -22,7 +22,7 @@
 GRACE = 50 * MS           # more for every limit of time: PROTOCOL, 'The rules on sockets'
 OVERDUE = 300 * MS        # after its time is up, an end is lost
 AFTER_START = 1_500 * MS  # after a start, what is overdue is not held against the courier
-CROSSING = 100 * MS       # in which calls and a wait may cross
+CROSSING = 100 * MS       # in which calls and a wait, or a notice and an answer, may cross
 KEEP = 60_000 * MS        # for which a message that is over is remembered
 MOST = 100                # breaches that are kept whole; all are counted
 BUSY = re.compile(r"-BUSY( (\d{1,9}))?( .*)?")
@@ -407,7 +407,7 @@
         m = self._known.get(id_)
         if m is None:
             self.breach("end", id_, ns, "a notice for a message that nobody has handed in, or long over")
-        elif m.delivered_at and not seat.may_have_missed(m.delivered_at):
+        elif m.delivered_at and ns > m.delivered_at + CROSSING and not seat.may_have_missed(m.delivered_at):
             self.breach("end", id_, ns, f"told as {state} after its delivery was heard")
         elif m.noticed and m.noticed != state:
             self.breach("end", id_, ns, f"told as {state} after {m.noticed}")
--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -97,6 +97,11 @@
         """Whether it has ended by itself."""
         return self._process is not None and self._process.poll() is not None
 
+    def last_words(self) -> str:
+        """The last line of its log."""
+        lines = (self._folder / "log").read_text(errors="replace").splitlines()
+        return lines[-1][:200] if lines else "without a word"
+
     def port_taken(self) -> bool:
         """Whether its log says that its port was in use."""
         return "in use" in (self._folder / "log").read_text(errors="replace")
@@ -221,7 +226,8 @@
                     self.memory.append((now - began, [courier.resident() for courier in couriers]))
                 for me, courier in enumerate(couriers):
                     if courier.crashed():
-                        raise RehearsalError(f"courier n{me} has ended; see {self._folder}/n{me}/log")
+                        raise RehearsalError(f"courier n{me} has ended: {courier.last_words()}; see "
+                                             f"{self._folder}/n{me}/log")
             return result(partners[scenario.partners[0].number], clients, began, began + scenario.lasts)
         finally:
             desk.close()
