Start a rehearsal's courier again where its port was taken meanwhile

Change: a courier that could not listen is started again after 200 ms, ten times at most; other ends name its last line.

--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -24,6 +24,7 @@
 from winchspan.standins.sockets import HOST, Desk, Discovery, Endpoint
 
 PORTS = 5                 # tried by a courier before it is given up
+PORT_AGAIN = 200.0        # ms until a courier is started again whose port was taken meanwhile
 READY_WITHIN = 20.0       # s for a courier to answer its first PING
 STOP_WITHIN = 5.0         # s for a courier to end after SIGTERM
 BACK_AFTER = 600.0        # ms from the kill of a courier to its next start
@@ -75,7 +76,9 @@
             "settings": wire(platform(scenario.couriers, self._me, **scenario.changes))}))
 
     def start(self) -> None:
-        """Begin a life."""
+        """Begin a life, if none is there."""
+        if self._process is not None:
+            return
         words = ["--operator", str(self._operator)] if self._told is not None else []
         env = {**os.environ, "ROUTER_CONFIG": str(self._folder / "config.json")}
         for name in ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_STATE"):
@@ -219,13 +222,18 @@
                 def relist(number: int = number) -> None:
                     tasks.append(loop.create_task(self._relist(number, endpoints, discovery, clients)))
                 deadlines.add(began + at, relist)
-            end = began + scenario.lasts + AFTER
+            end, taken = began + scenario.lasts + AFTER, 0
             while (now := clock.now()) < end and not (now > began + scenario.lasts and clients.settled(now)):
                 await asyncio.sleep(0.25)
                 if not self.memory or now - began - self.memory[-1][0] >= SAMPLE:
                     self.memory.append((now - began, [courier.resident() for courier in couriers]))
                 for me, courier in enumerate(couriers):
-                    if courier.crashed():
+                    if courier.crashed() and taken < 2 * PORTS and "in use" in courier.last_words():
+                        # Its port is a connection's of another program now; that will be over soon.
+                        taken += 1
+                        courier.kill()
+                        deadlines.after(PORT_AGAIN, courier.start)
+                    elif courier.crashed():
                         raise RehearsalError(f"courier n{me} has ended: {courier.last_words()}; see "
                                              f"{self._folder}/n{me}/log")
             return result(partners[scenario.partners[0].number], clients, began, began + scenario.lasts)
