--- a/tests/test_resends.py
+++ b/tests/test_resends.py
@@ -450,6 +450,14 @@
     assert f"entries up to {found.first - 1} have been let go" in act(tmp_path, "trail")
 
 
+def test_a_command_on_the_file_lets_nothing_of_the_trail_go(tmp_path: Path):
+    store = Store(tmp_path / FILE, Bounds(trail=10**6))
+    store.keep([kept(n) for n in range(11_005)], 0.0, "operator-1", "a file")
+    store.close()
+    act(tmp_path, "hold", "1", "--why", "to be looked at")
+    assert Store(tmp_path / FILE, BOUNDS, read_only=True).trail(0, 1).first == 1
+
+
 @pytest.mark.parametrize("harm", [
     "DELETE FROM trail WHERE seq = (SELECT min(seq) FROM trail)",
     "UPDATE trail_start SET seq = seq + 1", "UPDATE trail_start SET hash = x'00'",
--- a/winchspan/cli/undelivered.py
+++ b/winchspan/cli/undelivered.py
@@ -57,7 +57,7 @@
         if not self._path.exists():
             raise StoreError(f"{self._path}: there is no store")
         # Only the courier knows the operator's bounds, and loses what is beyond them; a tool loses nothing.
-        bounds = Bounds(self._path.stat().st_size + GROWTH, 10**9, 1e6)
+        bounds = Bounds(self._path.stat().st_size + GROWTH, 10**9, 1e6, 10**9)
         store = Store(self._path, bounds, read_only=queries.only_reads(name, args))
         try:
             return queries.run(store, name, checked, time.time() * 1_000.0)
--- a/winchspan/emulator/auditor.py
+++ b/winchspan/emulator/auditor.py
@@ -24,6 +24,7 @@
 AFTER_START = 1_500 * MS  # after a start, what is overdue is not held against the courier
 CROSSING = 100 * MS       # in which calls and a wait, or a notice and an answer, may cross
 KEEP = 60_000 * MS        # for which a message that is over is remembered
+LONG_OVER = 600_000 * MS  # after its time, a message is over, whatever became of it
 MOST = 100                # breaches that are kept whole; all are counted
 BUSY = re.compile(r"-BUSY( (\d{1,9}))?( .*)?")
 
@@ -281,7 +282,7 @@
         except (WireError, ValueError, KeyError, TypeError, IndexError) as err:
             if out:
                 self.breach("form", "", self._now(), f"{end.place} sent what cannot be read: {err}")
-            del self._sides[end]
+            self.over(end, False)     # nothing more of it can be judged
 
     def over(self, end: End, by_courier: bool) -> None:
         """An end is over; `by_courier` if it was closed from here."""
@@ -462,6 +463,8 @@
                 m.lost_told = True
                 self.breach("end", m.id, now, f"taken on by {m.courier}, and neither delivered nor told "
                             f"{(now - m.deadline) / MS:.0f} ms after its time")
+            if now > m.deadline + LONG_OVER:
+                self._is_over(m)
         while self._over and now > max(self._over[0][0], self._over[0][1].deadline) + KEEP:
             self._known.pop(self._over.popleft()[1].id, None)
 
--- a/winchspan/emulator/emulation.py
+++ b/winchspan/emulator/emulation.py
@@ -260,13 +260,17 @@
         elif t.what == "step":
             struck.machine.clock.step(t.lasts)
         elif t.what == "full":
-            struck.machine.disk.fill()
-            self._loop.call_later(t.lasts / 1_000.0, struck.machine.disk.clear)
+            self._fill(struck.machine, True)
+            self._loop.call_later(t.lasts / 1_000.0, self._fill, struck.machine, False)
         elif t.what == "hup":
             struck.signal(signal.SIGHUP)
         else:
             struck.terminate(t.lasts)
 
+    @staticmethod
+    def _fill(machine: Machine, full: bool) -> None:
+        machine.disk.full = full
+
     def play(self) -> Emulated:
         """Play it to its end, on a loop of its own."""
         begin = self._loop.ns
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -13,7 +13,7 @@
 
 from winchspan.clock import Clock
 from winchspan.emulator.loop import EmulatedLoop
-from winchspan.emulator.network import HOST, EmulatedListener, End, Network
+from winchspan.emulator.network import EmulatedListener, End, Network
 from winchspan.interface import Settings
 from winchspan.standins.inline import InlineKeeper
 from winchspan.system import Disk, Listener, System
@@ -66,10 +66,9 @@
     def __init__(self, network: Network) -> None:
         self._net = network
         self.full = False
-        self.failed = 0           # calls that failed for want of room
 
-    def _no_room(self) -> OSError:
-        self.failed += 1
+    @staticmethod
+    def _no_room() -> OSError:
         return OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
     def open(self, path: Path, flags: int) -> int:
@@ -84,14 +83,6 @@
             raise self._no_room()
         return super().write(fd, data[:self._net.piece(len(data))])
 
-    def fill(self) -> None:
-        """There is no room from now on."""
-        self.full = True
-
-    def clear(self) -> None:
-        """There is room again."""
-        self.full = False
-
 
 class Machine:
     """A place with clocks and a lasting folder, in which one program lives after the other."""
@@ -302,5 +293,3 @@
     async def wait_closed(self) -> None:
         """Nothing is left to wait for."""
 
-
-__all__ = ["HOST", "EmulatedServer", "Life", "Machine", "MachineClock", "MachineSystem"]
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -117,7 +117,7 @@
             clock.ahead += self.last_call - clock.lasting()
         if clock.boot:
             self._anchor = clock.boot, clock.ahead
-            self._append(_record({"t": "clock", "boot": clock.boot, "ahead": clock.ahead}))
+            self._owe(_record({"t": "clock", "boot": clock.boot, "ahead": clock.ahead}))
 
     @property
     def entries(self) -> Iterable[Entry]:
--- a/winchspan/lab/store.py
+++ b/winchspan/lab/store.py
@@ -14,6 +14,7 @@
 from winchspan.lab.play import Run, play
 
 TABLES = ("run", "windows", "causes", "latencies", "breaches")
+MOST_OTHERS = 10_000      # runs kept beside those of the experiment at hand
 RUNS, TEXT = "runs", "experiment.sexp"
 
 
@@ -50,9 +51,16 @@
             for future in as_completed(futures):
                 self._keep(self._file(futures[future], code), future.result())
                 done(1)
+        self._prune({self._file(point, code) for point in experiment.points})
         self._tables([self._read(self._file(point, code)) for point in experiment.points])
         return len(left)
 
+    def _prune(self, needed: set[Path]) -> None:
+        """Of the runs of other code or other files, let the oldest go beyond a bound."""
+        others = [path for path in (self.folder / RUNS).glob("*.json") if path not in needed]
+        for path in sorted(others, key=lambda path: path.stat().st_mtime)[:max(0, len(others) - MOST_OTHERS)]:
+            path.unlink()
+
     @staticmethod
     def _keep(path: Path, run: Run) -> None:
         part = path.with_suffix(".part")
