--- a/tests/test_hooks.py
+++ b/tests/test_hooks.py
@@ -185,7 +185,8 @@
         self.shut.append(peer)
 
     def call(self, peer: Peer, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
-             on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None) -> Links:
+             on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None,
+             out: Callable[[], None] | None = None) -> Links:
         self.calls.append((pieces, done, on_body))
         return self
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,14 +12,14 @@
 FLOORS = {
     "winchspan.clock": 0, "winchspan.deadlines": 0, "winchspan.slots": 0, "winchspan.config": 0,
     "winchspan.settings": 0, "winchspan.logs": 0, "winchspan.operator": 0, "winchspan.sketch": 0,
-    "winchspan.interface": 0, "winchspan.system": 0,
+    "winchspan.interface": 0, "winchspan.system": 0, "winchspan.figures": 0,
     "winchspan.choice": 1, "winchspan.storms": 1, "winchspan": 1,
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
     "winchspan.courier": 2, "winchspan.journal": 2,
     "winchspan.undelivered.store": 2, "winchspan.undelivered.keeper": 2, "winchspan.undelivered.resender": 2,
     "winchspan.undelivered.desk": 2, "winchspan.undelivered.trail": 2, "winchspan.undelivered.queries": 2,
-    "winchspan.net": 3, "winchspan.control": 3,
+    "winchspan.net": 3, "winchspan.control": 3, "winchspan.admin": 3,
     "winchspan.storms.setup": 3, "winchspan.storms.report": 3,      # the half that is no decision
     "winchspan.undelivered.setup": 3,
     "winchspan.adapter": 4, "winchspan.__main__": 4,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -56,6 +56,9 @@
     def is_closing(self) -> bool:
         return self.closed
 
+    def can_write_eof(self) -> bool:
+        return False
+
     def pause_reading(self) -> None:
         self.reading = False
 
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -16,9 +16,10 @@
 from winchspan import interface as api
 from winchspan import logs
 from winchspan.clock import to_ms, to_ns
-from winchspan.config import Config, ConfigError, load, reload
+from winchspan.config import Address, Config, ConfigError, load, reload
 from winchspan.courier import Courier
 from winchspan.deadlines import Deadlines
+from winchspan.figures import Figures
 from winchspan.journal import Journal
 from winchspan.net.client_link import ClientLinks
 from winchspan.net.hooks import Hooks
@@ -29,10 +30,13 @@
 from winchspan.system import System
 
 if TYPE_CHECKING:
+    from winchspan.admin.front import AdminFront
+    from winchspan.admin.operations import Operations
     from winchspan.control.server import ControlServer
     from winchspan.storms.report import Report
     from winchspan.undelivered.keeper import Keeper
 
+ADMIN_FILES = 18          # the operators' listening socket, 16 links, and one that is being accepted
 OWN_FILES = 16            # descriptors beside links: streams, the loop, the journal, the listening socket
 LISTEN_ON = 700.0         # after SIGTERM, clients still come for 0.4 s
 START_UNTIL = 2_600.0     # after SIGTERM, new executions start; the platform kills no sooner than 3.7 s
@@ -70,17 +74,20 @@
         self._clock = self._system.clock
         self._deadlines = Deadlines(self._clock, loop)
         self._journal = Journal(config.state, config.disk_bytes, self._system.disk)
-        budget = SocketBudget(config.sockets - OWN_FILES)
+        budget = SocketBudget(config.sockets - OWN_FILES - (ADMIN_FILES if config.admin else 0))
+        self._figures = Figures(settings.classes)
         links = ServerLinks(loop, self._clock, self._deadlines, budget,
                             to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
-        self._group = HostGroup(lambda news: self._courier.listed(news), links.part)
+        self._group = HostGroup(lambda news: self._courier.listed(news), links.part,
+                                self._journal.by_hand)
+        self._group.by_hand.update(self._journal.offline)
         self._notices = Notices(links, self._clock, self._deadlines, config.discovery)
         hooks = Hooks(self._group, links, self._clock, {n: k.per_call for n, k in settings.kinds.items()},
-                      settings.answers_report)
+                      settings.answers_report, self._figures)
         governor = self._storms(storms, settings) if storms.get("on") else None
         self._courier = Courier(settings, config.seed, self._clock, self._deadlines, self._journal, hooks,
                                 Announcements(self._notices, words), loop.call_soon, governor,
-                                self._keep(operator.get("undelivered", {}), settings))
+                                self._keep(operator.get("undelivered", {}), settings), self._figures)
         self._watch = Watch(self._group, links, self._deadlines, config.discovery)
         most = max(budget.limit // 2, budget.limit - settings.slots - 4)   # the rest is for server links
         self._clients = ClientLinks(self._courier, self._clock, self._deadlines, budget, most,
@@ -90,6 +97,35 @@
     _report: Report | None = None
     _keeper: Keeper | None = None
     _server: ControlServer | None = None
+    _admin: AdminFront | None = None
+    _serving = False
+
+    def _operations(self) -> Operations:
+        """What operators can ask for."""
+        from winchspan.admin.operations import Operations
+
+        return Operations(self._group, self._clients, self._counters, self._state)
+
+    def _state(self) -> str:
+        """Whether this process serves; if not, why."""
+        if self._clients.stopping:
+            return "stopping"
+        return "serving" if self._serving else "starting"
+
+    def _counters(self) -> str:
+        """The figures of this moment."""
+        listed = self._group.listed()
+        return self._figures.lines("courier", {
+            "current": self._courier.held, "cluster_size": len(listed),
+            "cluster_unhealthy": sum(self._courier.avoided(number) for number in listed)})
+
+    def _open_admin(self, address: Address) -> None:
+        """Listen for operators; raises OSError."""
+        from winchspan.admin.front import AdminFront
+
+        self._admin = AdminFront(self._operations(), self._deadlines)
+        self._admin.listen(self._loop, self._system.listen(address.host, address.port))
+        logger.info("operators call at {}", address)
 
     async def _control(self, path: Path) -> None:
         """Open the control socket; a courier that can't have one goes on without it."""
@@ -157,6 +193,8 @@
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         if self._report is not None:
             self._loop.add_signal_handler(signal.SIGUSR1, self._report.write)
+        if self._config.admin is not None:
+            self._open_admin(self._config.admin)
         self._courier.recover()
         if self._keeper is not None:
             self._resend(self._keeper)
@@ -166,7 +204,10 @@
         listen = self._config.listen
         self._clients.listen(self._loop, self._system.listen(listen.host, listen.port))
         logger.info("{} listens on {}", self._config.name, self._config.listen)
+        self._serving = True
         await self._done.wait()
+        if self._admin is not None:
+            self._admin.close()
         if self._server is not None:
             self._server.close()
         if self._keeper is not None:
@@ -179,15 +220,17 @@
         try:
             self._config = reload(self._system.environ, self._config)
         except ConfigError as err:
+            self._figures.conf_invalid += 1
             logger.error("SIGHUP: the old configuration goes on: {}", err)
             return
+        self._figures.conf_loaded += 1
         self._watch.move(self._config.discovery)
         self._notices.move(self._config.discovery)
         logger.info("SIGHUP: discovery is at {}", self._config.discovery)
 
     def _stop(self) -> None:
         """SIGTERM: clients are answered while they come, what is out may end, the rest is in the journal."""
-        if self._clients.closing:
+        if self._clients.stopping:
             return
         logger.info("stopping: {} executions are out", self._courier.out)
         self._clients.wind_down()
--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -265,6 +265,10 @@
                 self.endpoints[row.endpoint] = dest.endpoints[row.endpoint] = known
             known.usable = row.listing is Listing.IN_SERVICE
             known.gone = known.gone or self.now if row.listing is Listing.GONE else None
+            if row.cold:   # put back by hand: nobody knows since when it runs
+                known.ramp, waits = self.now, len(dest.queue) + known.served + 1
+                known.share = max(known.share, waits / (self.s.tip_after_ns * len(dest.endpoints)))
+                self._pace(known)
             if self.s.listed_rate is not api.ListedRate.NONE:
                 known.limit.stated = row.rating
                 self.gov.listed(self.now, dest.id, 0.0 if kind.apart else row.rating)
--- a/winchspan/config.py
+++ b/winchspan/config.py
@@ -1,8 +1,8 @@
 """The one place where configuration is read, checked and given defaults.
 
-The file named by ROUTER_CONFIG holds it as JSON; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY and
-ROUTER_STATE override what the file says. Every complaint names the faulty key. `reload` reads the file again
-while the courier runs.
+The file named by ROUTER_CONFIG holds it as JSON; ROUTER_NAME, ROUTER_LISTEN, ROUTER_DISCOVERY,
+ROUTER_STATE and ROUTER_ADMIN override what the file says. Every complaint names the faulty key. `reload`
+reads the file again while the courier runs.
 """
 
 from __future__ import annotations
@@ -47,6 +47,7 @@
     log_level: str
     known: Mapping[str, Any]
     settings: api.Settings
+    admin: Address | None = None      # where operators call; None: nowhere
 
 
 def parse_address(text: str, key: str) -> Address:
@@ -109,6 +110,8 @@
         name = told("ROUTER_NAME", "name", "winchspan")
         listen = parse_address(told("ROUTER_LISTEN", "listen", ""), "listen")
         discovery = parse_address(told("ROUTER_DISCOVERY", "discovery", ""), "discovery")
+        told_admin = env.get("ROUTER_ADMIN") or field(data, "admin", str, "")
+        admin = parse_address(told_admin, "admin") if told_admin else None
         state = Path(told("ROUTER_STATE", "state", ""))
         sockets = whole(limits, "sockets", 1_024)
         disk = number(limits, "disk_mb", 3.0)
@@ -129,4 +132,5 @@
     except (FieldError, ValueError, TypeError, AttributeError, ArithmeticError) as err:
         raise ConfigError(f"settings: {err}") from None
     return Config(name=name, listen=listen, discovery=discovery, state=state, seed=seed, sockets=sockets,
-                  disk_bytes=int(disk * 1_000_000), log_level=level, known=known, settings=settings)
+                  disk_bytes=int(disk * 1_000_000), log_level=level, known=known, settings=settings,
+                  admin=admin)
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -17,6 +17,7 @@
 from winchspan.choice import Sender
 from winchspan.clock import Clock, to_ms, to_ns
 from winchspan.deadlines import Deadline, Deadlines
+from winchspan.figures import Figures
 from winchspan.journal import Entry, Journal, JournalFull
 from winchspan.slots import SlotTable
 
@@ -53,6 +54,7 @@
     deadline: float
     token: str                # idempotency key, passed on unchanged
     body: bytes
+    cls: str = ""
     handle: int = 0
     attempts: int = 0
     execution: Execution | None = None
@@ -161,11 +163,14 @@
     def __init__(self, settings: api.Settings, seed: int, clock: Clock, deadlines: Deadlines,
                  journal: Journal, carrier: Carrier, announcer: Announcer,
                  soon: Callable[[Callable[[], None]], object],
-                 governor: api.Governor | None = None, keeper: Keeper | None = None) -> None:
+                 governor: api.Governor | None = None, keeper: Keeper | None = None,
+                 figures: Figures | None = None) -> None:
         self._settings, self._clock, self._deadlines, self._journal = settings, clock, deadlines, journal
         self._carrier, self._announcer, self._soon = carrier, announcer, soon
         self._governor, self._keeper = governor or api.Governor(), keeper
         self._sender = Sender(settings, seed, self._governor)
+        self.figures = figures or Figures()
+        self.figures = figures or Figures()
         self._queries: SlotTable[Query] = SlotTable()
         self._by_id: dict[str, int] = {}
         self._held = 0                    # queries whose end the module still owes
@@ -194,6 +199,16 @@
         return {"held": self._held, "max_held": self._settings.max_held, "executions_out": self._out,
                 "slots": self._settings.slots, "frozen": self._frozen, "destinations": dests}
 
+    @property
+    def held(self) -> int:
+        """Messages taken and not ended."""
+        return self._held
+
+    def avoided(self, endpoint: int) -> bool:
+        """Whether the decisions leave an endpoint out now, but for trials."""
+        found = self._sender.endpoints.get(endpoint)
+        return found is None or not found.usable or found.open
+
     def take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
              body: bytes, repeat: bool = False, again: bool = False) -> int:
         """Take a message on and return its query's handle; raises Busy or BadRequest.
@@ -201,6 +216,18 @@
         A message that is taken on already has its handle elsewhere: whoever asks again cannot withdraw it.
         `repeat` and `again` are the client's marks: refused before, or held by a courier that died.
         """
+        try:
+            return self._take(message, cls, key, dest, left, token, body, repeat, again)
+        except Busy:
+            self.figures.ended("deferred", cls)
+            raise
+        except BadRequest:
+            if cls in self._settings.classes:
+                self.figures.ended("errored", cls)
+            raise
+
+    def _take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
+              body: bytes, repeat: bool, again: bool) -> int:
         known = self._settings.classes.get(cls)
         if known is None:
             raise BadRequest(f"unknown class {cls!r:.60}")
@@ -223,7 +250,7 @@
             number = self._journal.take(message, cls, key, dest, self._clock.lasting() + left, token, body)
         except JournalFull:
             raise self._no_room(now, asked) from None
-        query = Query(number, message, dest, now + left, token, body)
+        query = Query(number, message, dest, now + left, token, body, cls)
         if self._keeper is not None:
             query.tried = []
         self._add(query)
@@ -253,7 +280,7 @@
                                        number, ran)
         except JournalFull:
             return False
-        self._add(Query(taken, message, dest, now + left, token, body, resend=number, tried=[]))
+        self._add(Query(taken, message, dest, now + left, token, body, cls, resend=number, tried=[]))
         ago = None if ran_at is None else to_ns(max(0.0, self._clock.unix() - ran_at))
         self._event(api.Recovered(api.Arrived(message, cls, dest, known.deadline_ns, key=key, lowest=True), 0,
                                   ago))
@@ -270,6 +297,7 @@
         if query is not None and not query.over:
             self._event(api.Withdrawn(query.id))
             self._journal.ended([query.number])
+            self.figures.ended("errored", query.cls)
             self._over(query)
 
     def listed(self, news: api.EndpointList) -> None:
@@ -300,7 +328,7 @@
             left = entry.deadline - unix
             if (cls := self._settings.classes.get(entry.cls)) is not None:
                 left = min(left, LONGEST * to_ms(cls.deadline_ns))   # clocks of two boots may differ
-            query = Query(entry.number, entry.id, entry.dest, now + left, entry.token, entry.body,
+            query = Query(entry.number, entry.id, entry.dest, now + left, entry.token, entry.body, entry.cls,
                           attempts=entry.attempts, tried=None if self._keeper is None else [],
                           resend=entry.resend)
             self._add(query)
@@ -445,6 +473,8 @@
                 self._settle(query, verdict.outcome is api.Outcome.DELIVERED, self._story(query, "failed"))
             elif verdict.over and not query.over:
                 ended.append(query.number)
+                delivered = verdict.outcome is api.Outcome.DELIVERED
+                self.figures.ended("answered" if delivered else "errored", query.cls)
             elif not query.over:
                 back.setdefault(verdict.outcome in MAY_HAVE_RUN, []).append(query.number)
             self._event(api.Ended(query.id, attempt, execution.endpoint, verdict.outcome, latency, final,
@@ -491,6 +521,7 @@
             if query.resend:
                 self._settle(query, False, story)
                 return
+            self.figures.ended("deferred" if state == "returned" else "errored", query.cls)
             self._announce(query, state, after_ms, reason)
 
     def _settle(self, query: Query, delivered: bool, story: dict[str, Any] | None) -> None:
--- a/winchspan/interface.py
+++ b/winchspan/interface.py
@@ -154,6 +154,7 @@
     zone: str = ""
     kind: str = ""
     rating: float = 1.0
+    cold: bool = False        # it comes back, and has not been sent anything meanwhile
 
 
 @dataclass(slots=True, frozen=True)
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -92,6 +92,7 @@
         self._live = 0             # bytes of a file written anew
         self._next = 1
         self._anchor: tuple[str, float] | None = None   # a boot, and how far its lasting time is ahead
+        self.offline: list[str] = []   # names of endpoints left out by hand
         self.last_call = 0.0       # when the latest execution began, Unix ms; 0: none is known of
         self._new.unlink(missing_ok=True)   # a rewriting that the last process did not finish
         self._fd = self._disk.open(self._path, os.O_RDWR | os.O_CREAT)
@@ -173,6 +174,14 @@
         for number in numbers:
             self._apply_end(number)
 
+    def by_hand(self, names: list[str]) -> None:
+        """Record which endpoints are left out by hand, all of them."""
+        self.offline = names
+        self._owe(self._offline())
+
+    def _offline(self) -> bytes:
+        return _record({"t": "offline", "names": self.offline})
+
     def close(self) -> None:
         """Write what is owed, if there is room, and let go of the file."""
         self.catch_up()
@@ -231,6 +240,8 @@
             self._next = max(self._next, entry.number + 1)
         elif kind == "clock":
             self._anchor = str(fields["boot"]), float(fields["ahead"])
+        elif kind == "offline":
+            self.offline = [str(name) for name in fields["names"]]
         elif kind == "last":
             self.last_call = max(self.last_call, float(fields["at"]))
         elif kind == "started":
@@ -315,6 +326,8 @@
         last = _record({"t": "last", "at": self.last_call}) if self.last_call else b""
         if self._anchor is not None:
             last += _record({"t": "clock", "boot": self._anchor[0], "ahead": self._anchor[1]})
+        if self.offline:
+            last += self._offline()
         total = sum(len(piece) for piece in pieces.values()) + len(last)
         if total >= self._size or self._size + total > self._limit * _FIT:
             return
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -182,6 +182,8 @@
             if command == b"SUBMIT":
                 taken.append(submit(words, self._links.intake))
                 return (resp.simple("OK"),)
+            if command == b"PING" and self._links.drained:
+                return (resp.error("BUSY out of service"),)
             if command == b"PING":
                 return resp.bulk(words[1]) if len(words) > 1 else (resp.simple("PONG"),)
             raise BadRequest(f"unknown command {words[0][:32].decode('latin-1')!r}")
@@ -227,7 +229,7 @@
         elif self.begun and age >= WHOLE_WITHIN:
             self._transport.write(resp.error("ERR Protocol error: the request did not come whole"))
             self._transport.close()
-        elif age >= IDLE:
+        elif age >= (IDLE if not self._links.drained else MUTE):
             self._transport.close()
 
     def close(self) -> None:
@@ -243,7 +245,8 @@
                  make_room: Callable[[], bool], words: bool = False) -> None:
         self.intake = intake
         self._words = words               # whether refusals are told in words, too
-        self.closing = False
+        self.closing = self._stopping = False
+        self.drained = False              # operators have taken this courier out of service
         self._clock, self._deadlines = clock, deadlines
         self._budget, self._most, self._make_room = budget, most, make_room
         self._most_idle = max(AT_ONCE, most // IDLE_PART)
@@ -373,9 +376,23 @@
 
     def wind_down(self) -> None:
         """From now on each link is closed once it is idle; clients may still come."""
-        self.closing = True
+        self.closing = self._stopping = True
         self._close_idle(fresh=False)
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the process is about to end."""
+        return self._stopping
+
+    def out_of_service(self) -> None:
+        """Drain: `PING` says no, and each link is closed once it is idle; who still comes is answered."""
+        self.drained = self.closing = True
+        self._close_idle(fresh=False)
+
+    def in_service(self) -> None:
+        """The drain is over; a stop is not."""
+        self.drained, self.closing = False, self._stopping
+
     def stop_listening(self) -> None:
         """Accept no more, and close those that came and asked for nothing."""
         if self._socket is not None:
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -11,6 +11,7 @@
 from winchspan import interface as api
 from winchspan.clock import Clock
 from winchspan.courier import Parcel, Verdict
+from winchspan.figures import Figures
 from winchspan.net import http
 from winchspan.net.host_group import HostGroup
 from winchspan.net.server_link import Call, CallEnd, Fate, ServerLinks
@@ -28,7 +29,8 @@
     """The carrier of this platform."""
 
     def __init__(self, group: HostGroup, links: ServerLinks, clock: Clock, kinds: dict[str, int],
-                 reports: bool = False) -> None:
+                 reports: bool = False, figures: Figures | None = None) -> None:
+        self._figures = figures or Figures()
         self._group, self._links, self._clock, self._kinds = group, links, clock, kinds
         self._reports = reports           # whether the settings say that answers hold load reports
 
@@ -42,7 +44,8 @@
         else:
             pieces = _many(parcels, str(host.address), patience)
         return self._links.call(host.peer, pieces, until,
-                                lambda end: done(read(end, parcels, self._reports)), begin_by=begin_by)
+                                lambda end: done(read(end, parcels, self._reports)), begin_by=begin_by,
+                                out=lambda: self._figures.sent(len(parcels)))
 
     def serves(self, dest: int) -> bool:
         """Whether the list has named an endpoint of a destination; before any list, nobody knows."""
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -20,7 +20,9 @@
 AGAIN = 200.0             # between two watches
 _MAX_LINE = 1024 * 1024
 _GONE_KEPT = 1_000        # endpoints off the list that are remembered: calls to them may still be out
+_EVER_KEPT = 5_000        # names of endpoints that operators may still call by
 _FOREVER = 1e15
+MOST_OFFLINE = 500        # endpoints left out by hand: their names are in the journal
 _LISTINGS = {"up": api.Listing.IN_SERVICE, "draining": api.Listing.DRAINING, "removed": api.Listing.GONE}
 
 
@@ -51,13 +53,17 @@
     """Numbers the endpoints and keeps what was last said of each."""
 
     def __init__(self, on_list: Callable[[api.EndpointList], None],
-                 on_leave: Callable[[Peer], None] = lambda peer: None) -> None:
+                 on_leave: Callable[[Peer], None] = lambda peer: None,
+                 on_hand: Callable[[list[str]], None] = lambda names: None) -> None:
         self.seq = -1
         self.hosts: dict[int, Host] = {}
         self.dests: dict[int, int] = {}   # destinations named, with how many of the hosts are theirs
         self._numbers: dict[tuple[str, int], int] = {}
         self._next = count(1)
-        self._on_list, self._on_leave = on_list, on_leave
+        self._ever: dict[str, None] = {}   # names that were ever in the list
+        self._on_list, self._on_leave, self._on_hand = on_list, on_leave, on_hand
+        self.by_hand: set[str] = set()     # names of endpoints that are offline, whatever the list says
+        self._cold: set[str] = set()       # put back, and not yet told to the module
 
     def take(self, news: Mapping[str, Any], scope: api.Scope | None = None) -> None:
         """Take one list or change; raises FieldError if it cannot be read at all.
@@ -83,18 +89,72 @@
         for host in hosts:
             before = self.hosts.get(host.number)
             self.hosts[host.number] = host
+            self._ever[host.name] = None
             if before is None:
                 self.dests[host.dest] = self.dests.get(host.dest, 0) + 1
             elif before.address != host.address:
                 self._on_leave(before.peer)
-            if host.listing is not api.Listing.IN_SERVICE:
+            if self._row(host).listing is not api.Listing.IN_SERVICE:
                 self._on_leave(host.peer)
         self._forget()
         scope = scope or (api.Scope.WHOLE if complete else api.Scope.CHANGES)
-        self._on_list(api.EndpointList(scope, tuple(host.row() for host in hosts)))
+        self._tell(scope, hosts)
+
+    def _row(self, host: Host) -> api.Row:
+        """An endpoint as the module is to see it: one that is offline by hand drains."""
+        row = host.row()
+        if row.listing is not api.Listing.IN_SERVICE:
+            return row
+        if host.name in self.by_hand:
+            return replace(row, listing=api.Listing.DRAINING)
+        return replace(row, cold=host.name in self._cold)
+
+    def _tell(self, scope: api.Scope, hosts: list[Host]) -> None:
+        rows = tuple(self._row(host) for host in hosts)
+        self._cold -= {host.name for host, row in zip(hosts, rows, strict=True) if row.cold}
+        self._on_list(api.EndpointList(scope, rows))
+
+    # ---- by hand -----------------------------------------------------------------------------------------
+    def knows(self, name: str) -> bool:
+        """Whether an endpoint was ever in the list, as far back as is remembered."""
+        return name in self._ever or name in self.by_hand
+
+    def offline(self, name: str) -> bool:
+        """Leave an endpoint out, whatever the list says; False if no more can be left out."""
+        if name in self.by_hand:
+            return True
+        if len(self.by_hand) >= MOST_OFFLINE:
+            return False
+        self.by_hand.add(name)
+        self._cold.discard(name)
+        self._by_hand(name)
+        return True
+
+    def online(self, name: str) -> None:
+        """Put an endpoint back; it counts as cold."""
+        if name in self.by_hand:
+            self.by_hand.remove(name)
+            self._cold.add(name)
+            self._by_hand(name)
+
+    def _by_hand(self, name: str) -> None:
+        """Note what is offline now, and tell the module of one endpoint."""
+        self._on_hand(sorted(self.by_hand))
+        found = [host for host in self.hosts.values()
+                 if host.name == name and host.listing is not api.Listing.GONE]
+        for host in found if name in self.by_hand else ():
+            self._on_leave(host.peer)
+        if found:
+            self._tell(api.Scope.CHANGES, found)
+
+    def listed(self) -> list[int]:
+        """The numbers of the endpoints in the list."""
+        return [host.number for host in self.hosts.values() if host.listing is not api.Listing.GONE]
 
     def _forget(self) -> None:
         """Of those off the list drop the first known; guards against a table that grows without end."""
+        for name in list(self._ever)[:max(0, len(self._ever) - _EVER_KEPT)]:
+            del self._ever[name]
         gone = [host for host in self.hosts.values() if host.listing is api.Listing.GONE]
         for host in gone[:max(0, len(gone) - _GONE_KEPT)]:
             del self.hosts[host.number]
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -71,7 +71,7 @@
     """One request on its way, from `ServerLinks.call` until its end is told."""
 
     __slots__ = ("pieces", "done", "parser", "link", "timers", "ending", "bounded", "begin_by",
-                 "whole_by")
+                 "whole_by", "out")
 
     def __init__(self, pieces: list[bytes], done: Callable[[CallEnd], None], parser: AnswerParser,
                  bounded: bool, begin_by: float | None) -> None:
@@ -84,6 +84,7 @@
         self.begin_by = begin_by
         self.bounded = bounded        # once begun its answer must end soon; a watch's never does
         self.whole_by: Deadline | None = None
+        self.out: Callable[[], None] | None = None     # called once its last byte is written
 
     def cancel(self) -> None:
         """Stop waiting; the end is told once the connection is closed."""
@@ -173,7 +174,14 @@
             self.call.recall()     # guards against a loop that is late, whose timer has not fired yet
             return
         self._transport.writelines(self.call.pieces)
-        self.written = self._transport.get_write_buffer_size() == 0
+        if self._transport.get_write_buffer_size() == 0:
+            self._wrote()
+
+    def _wrote(self) -> None:
+        """All that was to be written has reached the system."""
+        self.written = True
+        if self.call is not None and self.call.out is not None:
+            self.call.out()
 
     def _close(self) -> None:
         """The connection is over: so is the call on it."""
@@ -209,7 +217,7 @@
 
     def resume_writing(self) -> None:
         """All that was to be written has reached the system."""
-        self.written = True
+        self._wrote()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the loop may put the next bytes."""
@@ -270,12 +278,14 @@
         self._idle: dict[Peer, list[ServerLink]] = {}
 
     def call(self, peer: Peer, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
-             on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None) -> Call:
+             on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None,
+             out: Callable[[], None] | None = None) -> Call:
         """Write a request on a warm link, or else on a new one; `done` gets its end.
 
-        What has not been written by `begin_by` is taken back.
+        What has not been written by `begin_by` is taken back. `out` is called once its last byte is written.
         """
         call = Call(pieces, done, AnswerParser(on_body), on_body is None, begin_by)
+        call.out = out
         call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
         if begin_by is not None:
             call.timers.append(self._deadlines.add(begin_by, call.recall))
