--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -86,20 +86,27 @@
         return link.makefile("rb").readline()
 
 
-def start(tmp_path: Path, port: int, discovery: int, *words: str) -> subprocess.Popen[bytes]:
+def start(tmp_path: Path, port: int, discovery: int, *words: str, socket_fd: int | None = None,
+          ready_by: bytes | None = None) -> subprocess.Popen[bytes]:
     data = json.loads((ROOT / "examples" / "config.json").read_text())
     data |= {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}"}
     data["state"] = str(tmp_path / "state")
     for cls in data["settings"]["request_classes"]:      # no pace of the machine may matter here
         cls |= {"goal_time_ns": 600 * 10**9, "hard_limit_ns": 1_200 * 10**9, "window_ns": 600 * 10**9}
     (tmp_path / "state").mkdir(exist_ok=True)
+    data.pop("admin")
     (tmp_path / "config.json").write_text(json.dumps(data))
     env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json")}
+    if socket_fd is not None:
+        env["ROUTER_SOCKET_FD"] = str(socket_fd)
     process = subprocess.Popen([sys.executable, "-m", "winchspan", *words], cwd=ROOT, env=env,
-                               stderr=(tmp_path / "log").open("ab"))
+                               stderr=(tmp_path / "log").open("ab"),
+                               pass_fds=[] if socket_fd is None else [socket_fd])
 
     def ready() -> bool:
         assert process.poll() is None, (tmp_path / "log").read_text()
+        if ready_by is not None:
+            return ready_by in (tmp_path / "log").read_bytes()
         try:
             return ask(port, b"*1\r\n$4\r\nPING\r\n") == b"+PONG\r\n"
         except OSError:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,7 +21,7 @@
     "winchspan.undelivered.desk": 2, "winchspan.undelivered.trail": 2, "winchspan.undelivered.queries": 2,
     "winchspan.net": 3, "winchspan.control": 3, "winchspan.admin": 3,
     "winchspan.storms.setup": 3, "winchspan.storms.report": 3,      # the half that is no decision
-    "winchspan.undelivered.setup": 3,
+    "winchspan.undelivered.setup": 3, "winchspan.upgrade": 3, "winchspan.upgrade.steps": 1,
     "winchspan.adapter": 4, "winchspan.__main__": 4,
     "winchspan.standins": 5, "winchspan.emulator": 5, "winchspan.lab": 5,
     "winchspan.cli": 6,
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,292 @@
+"""One courier in two processes: the giver's steps, the state as bytes, and real processes under load."""
+
+from __future__ import annotations
+
+import os
+import pickle
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from http.server import ThreadingHTTPServer
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as tries
+from hypothesis import strategies as st
+
+from examples.submit import request
+from winchspan import interface as api
+from winchspan.choice import Sender
+from winchspan.config import ConfigError, load
+from winchspan.interface import Outcome
+from winchspan.net.server_link import Call
+from winchspan.upgrade.link import take
+from winchspan.upgrade.pack import HandOverError, pack, unpack
+from winchspan.upgrade.steps import SETTLE_WITHIN, TAKE_WITHIN, Do, Giver, State
+
+from .helpers import MS, SECOND, settings
+from .test_courier import OK, World
+from .test_end_to_end import PATIENCE, ROOT, Partner, ask, partner, start, wait_for
+
+__all__ = ["partner"]     # a fixture
+
+EVENTS = st.sampled_from(["ask", "settled", "ready", "pass", "lost", "failed", "stop"])
+
+
+@given(st.lists(EVENTS, max_size=30))
+@tries(derandomize=True, deadline=None)
+def test_the_giver_gives_once_resumes_what_it_settled_and_stops_once(events: list[str]):
+    giver, now, done = Giver(), 0.0, []
+    settled = False           # the parts stand, and must be given or resumed
+    for event in events:
+        now += 400.0
+        before = giver.state
+        match event:
+            case "ask":
+                todo = giver.asked(now, True)
+            case "settled":
+                todo = giver.settled(now)
+            case "pass":
+                todo = giver.passed(now)
+            case _:
+                todo = {"ready": giver.ready, "lost": giver.lost, "failed": giver.failed,
+                        "stop": giver.stop}[event]()
+        done += todo
+        if Do.SETTLE in todo:
+            assert not settled
+            settled = True
+        if Do.RESUME in todo:
+            assert settled
+            settled = False
+        assert (Do.GIVE in todo) == (before is State.OFFERED and giver.state is State.GIVEN)
+        assert settled == (giver.state is not State.SERVING)
+    assert done.count(Do.STOP) <= 1
+    assert Do.STOP not in done or "stop" in events
+
+
+def test_a_taker_that_never_reads_and_calls_that_never_settle_do_not_keep_the_giver():
+    giver = Giver()
+    assert giver.asked(0.0, True) == [Do.SETTLE]
+    assert giver.passed(SETTLE_WITHIN - 1) == []
+    assert giver.stop() == []                          # a hand-over that has begun comes first
+    assert giver.passed(SETTLE_WITHIN) == [Do.CUT]
+    assert giver.settled(SETTLE_WITHIN + 1) == [Do.OFFER]
+    assert giver.passed(SETTLE_WITHIN + 1 + TAKE_WITHIN) == [Do.RESUME, Do.STOP]
+    assert giver.asked(9_000.0, True) == [Do.REFUSE]   # it is ending
+
+
+def busy_sender() -> Sender:
+    """One with calls out, keys that wait, a wait that binds, an endpoint in doubt, and a queue."""
+    sender = Sender(settings(slots=3), 7)
+    rows = (api.Row(1, 1), api.Row(2, 2), api.Row(3, 3, kind="batch"))
+    sender.handle(SECOND, [api.EndpointList(api.Scope.WHOLE, rows)])
+    sender.handle(2 * SECOND, [api.Arrived(f"m{n}", ("safe", "turn", "keyed")[n % 3], n % 3 + 1, 15 * SECOND,
+                                           key=n % 2 + 1) for n in range(14)])
+    sender.handle(2 * SECOND + 50 * MS, [api.Ended("m0", 0, 1, Outcome.FULL, wait_ns=2 * SECOND),
+                                         api.Ended("m1", 0, 2, Outcome.RESET)])
+    return sender
+
+
+def test_a_sender_goes_on_in_another_process_as_if_nothing_had_happened():
+    one = busy_sender()
+    state, calls = unpack(pack({"sender": one}, []))
+    other: Sender = state["sender"]
+    assert not calls and len(other.held) == len(one.held) and other.running.keys() == one.running.keys()
+    for step in range(60):
+        now = 2 * SECOND + (100 + 100 * step) * MS
+        ends: list[api.Event] = [api.TimerFired(0)]
+        if step % 7 == 3:
+            ends += [api.Ended(m, n, c.endpoint.id, Outcome.DELIVERED, 40 * MS, True)
+                     for c in list(one.running.values()) for m, (_, n) in c.members.items()]
+        mine, its = one.handle(now, ends), other.handle(now, ends)
+        assert mine == its
+
+
+def test_state_holds_nothing_but_our_own_classes_and_calls_that_have_a_connection():
+    class Trap:
+        def __reduce__(self) -> object:
+            return os.system, ("true",)
+
+    with pytest.raises(HandOverError, match="no part of a state"):
+        unpack(pickle.dumps({"x": Trap()}))
+    for spoilt in (b"", b"\x80", pack({"a": 1}, [])[:-3], pickle.dumps([])):
+        with pytest.raises(HandOverError):
+            unpack(spoilt)
+    call = Call.adopted()
+    with pytest.raises(HandOverError, match="no connection"):
+        pack({"call": call}, [])
+    state, calls = unpack(pack({"call": call, "again": call}, [Call.adopted(), call]))
+    assert state["call"] is state["again"] is calls[1]
+
+
+def test_a_courier_goes_on_with_what_is_out_and_still_owes_each_end(tmp_path: Path):
+    """Messages out, queued, and ended by a notice that nobody has heard."""
+    world = World(tmp_path)
+    for n in range(8):
+        world.put(f"m{n}", "keyed", key=n % 2 + 1)
+    world.put("late", left=1.0)
+    world.run(50)
+    assert list(world.out.notices) == ["late"] and world.out.sent
+    world.courier.suspend(True)
+    world.put("meanwhile", "safe")                    # taken while it settles
+    handed, out = world.courier.handed(), world.out
+    for sent in out.sent:
+        sent.cancel = None  # type: ignore[assignment, method-assign]   # no way back to the old process
+    taken = list(out.sent)
+    world.journal.close()
+
+    rejoined = []
+    world.clock.advance(30)
+    state = handed
+    before = world.courier
+    world.turns, world.journal = [], type(world.journal)(tmp_path, world.disk)
+    world.out = type(out)(world.journal, 1)
+    world.courier = type(before)(world.settings, 1, world.clock, world.deadlines, world.journal, world.out,
+                                 world.out, world.turns.append)
+    world.courier.take_over(state, lambda call, done: rejoined.append((call, done)))
+    assert len(rejoined) == len(taken) and list(world.out.notices) == ["late"]
+    for call, done in rejoined:
+        done([OK] * len(call.parcels))  # type: ignore[attr-defined]
+    for _ in range(40):
+        world.run(100)
+        for sent in list(world.out.sent):
+            world.out.sent.remove(sent)
+            sent.end(OK)
+    world.out.notices["late"][2]()
+    world.run()
+    assert world.courier.held == 0 and not list(world.journal.entries)
+
+
+# ---- real processes --------------------------------------------------------------------------------------
+def listening() -> socket.socket:
+    found = socket.create_server(("127.0.0.1", 0))
+    os.set_inheritable(found.fileno(), True)
+    return found
+
+
+class Clients:
+    """Four that keep a connection each and hand in one message after the other until told to stop."""
+
+    def __init__(self, port: int) -> None:
+        self.answers: list[bytes] = []
+        self.lost = 0
+        self._over = threading.Event()
+        self._threads = [threading.Thread(target=self._one, args=(port, n), daemon=True) for n in range(4)]
+        for thread in self._threads:
+            thread.start()
+
+    def _one(self, port: int, me: int) -> None:
+        with socket.create_connection(("127.0.0.1", port), timeout=PATIENCE) as link:
+            lines = link.makefile("rb")
+            while not self._over.wait(0.002):
+                link.sendall(request("order-payment", "7", "x", f"{me + 1:016x}", 1_200_000))
+                if line := lines.readline():
+                    self.answers.append(line)
+                else:
+                    self.lost += 1
+                    return
+
+    def stop(self) -> None:
+        self._over.set()
+        for thread in self._threads:
+            thread.join(PATIENCE)
+
+
+def test_upgrades_under_load_lose_no_request_and_end_each_message_once(tmp_path: Path,
+                                                                       partner: ThreadingHTTPServer):
+    Partner.open.set()
+    sock = listening()
+    port, running = int(sock.getsockname()[1]), []
+    running.append(start(tmp_path, port, partner.server_port, socket_fd=sock.fileno()))
+    clients = Clients(port)
+    try:
+        for number in range(3):
+            had = len(clients.answers)
+            wait_for("load", lambda had=had: len(clients.answers) > had + 40)
+            (tmp_path / "log").write_bytes(b"")
+            running.append(start(tmp_path, port, partner.server_port, socket_fd=sock.fileno(),
+                                 ready_by=b" listens on "))
+            assert running[number].wait(PATIENCE) == 0, "the old process leaves by itself"
+            assert b"took over" in (tmp_path / "log").read_bytes()
+        had = len(clients.answers)
+        wait_for("load", lambda: len(clients.answers) > had + 40)
+        clients.stop()
+        taken = clients.answers.count(b"+OK\r\n")
+        wait_for("all ended", lambda: len(Partner.answered) + len(set(Partner.ended)) >= taken)
+    finally:
+        clients.stop()
+        for process in running:
+            process.kill()
+            process.wait()
+        sock.close()
+    assert clients.lost == 0
+    assert len(Partner.begun) == len(set(Partner.begun)) and not set(Partner.begun) & set(Partner.ended)
+    assert len(Partner.begun) + len(set(Partner.ended)) == taken
+
+
+def test_a_new_process_that_dies_on_the_way_leaves_the_old_one_serving(tmp_path: Path,
+                                                                       partner: ThreadingHTTPServer):
+    """At each word of the hand-over: before asking, after it, and with the state at hand."""
+    Partner.open.set()
+    sock = listening()
+    port = int(sock.getsockname()[1])
+    courier = start(tmp_path, port, partner.server_port, socket_fd=sock.fileno())
+    state = tmp_path / "state"
+
+    def die(data: bytes) -> None:
+        raise HandOverError("the test's")
+    try:
+        for words in (b"", b"TAKE", b"TAKE 1 other\n", b"TAKE 9 x\n", b"nonsense\n"):
+            with socket.socket(socket.AF_UNIX) as link:
+                link.connect(str(state / "upgrade.sock"))
+                link.sendall(words)
+            assert ask(port, request("order-payment", "7", "x")) == b"+OK\r\n"
+        wait_for("the link is free again", lambda: take(state, "same", die) is None)
+        assert ask(port, request("order-payment", "7", "x")) == b"+OK\r\n"
+        assert courier.poll() is None
+        courier.send_signal(signal.SIGTERM)
+        assert courier.wait(PATIENCE) == 0
+    finally:
+        courier.kill()
+        courier.wait()
+        sock.close()
+
+
+def test_a_new_process_waits_for_an_old_one_that_is_killed_and_recovers(tmp_path: Path,
+                                                                       partner: ThreadingHTTPServer):
+    sock = listening()
+    port = int(sock.getsockname()[1])
+    courier = start(tmp_path, port, partner.server_port, socket_fd=sock.fileno())
+    try:
+        assert ask(port, request("order-payment", "7", "x", f"{1:016x}", 1_200_000)) == b"+OK\r\n"
+        wait_for("a call is out", lambda: Partner.begun)
+        (tmp_path / "state" / "upgrade.sock").unlink()     # an older version, which knows no hand-over
+        courier.kill()
+        Partner.open.set()
+        after = start(tmp_path, port, partner.server_port, socket_fd=sock.fileno())
+        courier.wait()
+        try:
+            wait_for("delivered in the new process", lambda: len(Partner.answered) == 2)
+        finally:
+            after.kill()
+            after.wait()
+    finally:
+        courier.kill()
+        sock.close()
+
+
+def test_a_descriptor_that_does_not_listen_ends_the_start_with_one_line(tmp_path: Path):
+    with pytest.raises(ConfigError, match="ROUTER_SOCKET_FD"):
+        load({"ROUTER_SOCKET_FD": "x", "ROUTER_LISTEN": "127.0.0.1:0", "ROUTER_DISCOVERY": "127.0.0.1:1",
+              "ROUTER_STATE": str(tmp_path)})
+    config = ROOT / "examples" / "config.json"
+    env = os.environ | {"ROUTER_CONFIG": str(config), "ROUTER_STATE": str(tmp_path)}
+    for descriptor in ("2", "77"):
+        done = subprocess.run([sys.executable, "-m", "winchspan"], cwd=ROOT, capture_output=True, text=True,
+                              env=env | {"ROUTER_SOCKET_FD": descriptor}, check=False)
+        assert done.returncode == 2 and "ROUTER_SOCKET_FD" in done.stderr and done.stderr.count("\n") == 1
+
+
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -27,7 +27,7 @@
 from winchspan.net.notices import Notice, Notices
 from winchspan.net.server_link import ServerLinks, SocketBudget
 from winchspan.settings import FieldError
-from winchspan.system import System
+from winchspan.system import Listener, System
 
 if TYPE_CHECKING:
     from winchspan.admin.front import AdminFront
@@ -35,6 +35,9 @@
     from winchspan.control.server import ControlServer
     from winchspan.storms.report import Report
     from winchspan.undelivered.keeper import Keeper
+    from winchspan.upgrade.link import GiverLink
+    from winchspan.upgrade.parts import Giving, Whole
+    from winchspan.upgrade.start import Inherited
 
 ADMIN_FILES = 18          # the operators' listening socket, 16 links, and one that is being accepted
 OWN_FILES = 16            # descriptors beside links: streams, the loop, the journal, the listening socket
@@ -66,7 +69,9 @@
     """All parts of one courier."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, operator: Operator,
-                 system: System | None = None) -> None:
+                 system: System | None = None, inherited: Inherited | None = None,
+                 listener: Listener | None = None) -> None:
+        self._inherited, self._listener = inherited, listener
         self._config, self._loop, self._system = config, loop, system or System()
         storms, self._rules, self._operator = operator.get("storms", {}), operator.get("resend", {}), operator
         words = bool(storms.get("on") and storms.get("words"))
@@ -74,16 +79,18 @@
         self._clock = self._system.clock
         self._deadlines = Deadlines(self._clock, loop)
         self._journal = Journal(config.state, config.disk_bytes, self._system.disk)
-        budget = SocketBudget(config.sockets - OWN_FILES - (ADMIN_FILES if config.admin else 0))
+        own = OWN_FILES + (ADMIN_FILES if config.admin else 0)
+        budget = self._budget = SocketBudget(config.sockets - own)
         self._figures = Figures(settings.classes)
-        links = ServerLinks(loop, self._clock, self._deadlines, budget,
+        links = self._links = ServerLinks(loop, self._clock, self._deadlines, budget,
                             to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
         self._group = HostGroup(lambda news: self._courier.listed(news), links.part,
                                 self._journal.by_hand)
         self._group.by_hand.update(self._journal.offline)
         self._notices = Notices(links, self._clock, self._deadlines, config.discovery)
-        hooks = Hooks(self._group, links, self._clock, {n: k.per_call for n, k in settings.kinds.items()},
-                      settings.answers_report, self._figures)
+        hooks = self._hooks = Hooks(self._group, links, self._clock,
+                                    {n: k.per_call for n, k in settings.kinds.items()},
+                                    settings.answers_report, self._figures)
         governor = self._storms(storms, settings) if storms.get("on") else None
         self._courier = Courier(settings, config.seed, self._clock, self._deadlines, self._journal, hooks,
                                 Announcements(self._notices, words), loop.call_soon, governor,
@@ -98,8 +105,39 @@
     _keeper: Keeper | None = None
     _server: ControlServer | None = None
     _admin: AdminFront | None = None
+    _giver: GiverLink | None = None
+    _giving: Giving | None = None
     _serving = False
 
+    def _parts(self) -> Whole:
+        """All parts, as an upgrade handles them."""
+        from winchspan.upgrade.parts import Whole
+
+        return Whole(self._clock, self._deadlines, self._journal, self._group, self._courier, self._clients,
+                     self._links, self._hooks)
+
+    def _hand_over_when_asked(self) -> None:
+        """Wait for a new process that takes over; a courier that can't goes on without."""
+        from winchspan.upgrade.link import GiverLink
+        from winchspan.upgrade.pack import fingerprint
+        from winchspan.upgrade.parts import Giving
+
+        def room() -> int:      # of the descriptors that both may hold, what is left beside two sets of files
+            return self._config.sockets - self._budget.open - 2 * (OWN_FILES + ADMIN_FILES)
+
+        self._giving = Giving(self._parts(), room, self._stop_now, self._given)
+        self._giver = GiverLink(self._config.state, fingerprint(), self._giving, self._clock.now)
+        try:
+            self._giver.listen(self._loop)
+        except OSError as err:
+            logger.error("upgrade: cannot wait for a new process: {}", err)
+            self._giver = None
+
+    def _given(self) -> None:
+        """Another process is the courier now."""
+        self._system.unlock()
+        self._done.set()
+
     def _operations(self) -> Operations:
         """What operators can ask for."""
         from winchspan.admin.operations import Operations
@@ -108,7 +146,7 @@
 
     def _state(self) -> str:
         """Whether this process serves; if not, why."""
-        if self._clients.stopping:
+        if self._clients.stopping or (self._giving is not None and self._giving.held):
             return "stopping"
         return "serving" if self._serving else "starting"
 
@@ -182,7 +220,8 @@
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        if self._config.known:
+        state = self._inherited.state if self._inherited is not None else {}
+        if self._config.known and "group" not in state:
             try:
                 self._group.take(self._config.known, api.Scope.STALE)
             except FieldError as err:
@@ -195,19 +234,28 @@
             self._loop.add_signal_handler(signal.SIGUSR1, self._report.write)
         if self._config.admin is not None:
             self._open_admin(self._config.admin)
-        self._courier.recover()
+        if self._inherited is not None and state:
+            from winchspan.upgrade.parts import adopt
+
+            adopt(self._parts(), self._loop, state, self._inherited.calls, self._inherited.descriptors)
+        else:
+            self._courier.recover()
         if self._keeper is not None:
             self._resend(self._keeper)
         if self._operator.get("control", {}).get("on"):
             await self._control(Path(self._operator["control"]["socket"]))
         self._watch.open()
         listen = self._config.listen
-        self._clients.listen(self._loop, self._system.listen(listen.host, listen.port))
+        self._clients.listen(self._loop, self._listener or self._system.listen(listen.host, listen.port))
+        if self._listener is not None:
+            self._hand_over_when_asked()
         logger.info("{} listens on {}", self._config.name, self._config.listen)
         self._serving = True
         await self._done.wait()
         if self._admin is not None:
             self._admin.close()
+        if self._giver is not None:
+            self._giver.close()
         if self._server is not None:
             self._server.close()
         if self._keeper is not None:
@@ -229,7 +277,14 @@
         logger.info("SIGHUP: discovery is at {}", self._config.discovery)
 
     def _stop(self) -> None:
-        """SIGTERM: clients are answered while they come, what is out may end, the rest is in the journal."""
+        """SIGTERM: a hand-over that has begun comes to its end first."""
+        if self._giver is not None:
+            self._giver.stop()
+        else:
+            self._stop_now()
+
+    def _stop_now(self) -> None:
+        """Clients are answered while they come, what is out may end, the rest is in the journal."""
         if self._clients.stopping:
             return
         logger.info("stopping: {} executions are out", self._courier.out)
@@ -272,9 +327,22 @@
         print(f"winchspan: {err}", file=sys.stderr)
         return 2
     logs.start(config.log_level)
+    system, inherited, listener = System(), None, None
+    if config.socket_fd is not None:
+        from winchspan.upgrade.start import begin
+
+        try:
+            listener = system.inherit(config.socket_fd)
+        except OSError as err:
+            print(f"winchspan: ROUTER_SOCKET_FD: {config.socket_fd} is no listening socket: {err.strerror}",
+                  file=sys.stderr)
+            return 2
+        inherited = begin(config.state, lambda: system.lock(config.state))
+    elif not system.lock(config.state):
+        logger.warning("{} is held by another process", config.state)
 
     async def serve() -> None:
-        await Daemon(config, asyncio.get_running_loop(), operator).run()
+        await Daemon(config, asyncio.get_running_loop(), operator, system, inherited, listener).run()
 
     try:
         asyncio.run(serve())
--- a/winchspan/config.py
+++ b/winchspan/config.py
@@ -48,6 +48,7 @@
     known: Mapping[str, Any]
     settings: api.Settings
     admin: Address | None = None      # where operators call; None: nowhere
+    socket_fd: int | None = None      # the clients' listening socket, where the platform holds it
 
 
 def parse_address(text: str, key: str) -> Address:
@@ -112,6 +113,7 @@
         discovery = parse_address(told("ROUTER_DISCOVERY", "discovery", ""), "discovery")
         told_admin = env.get("ROUTER_ADMIN") or field(data, "admin", str, "")
         admin = parse_address(told_admin, "admin") if told_admin else None
+        told_fd = env.get("ROUTER_SOCKET_FD", "")
         state = Path(told("ROUTER_STATE", "state", ""))
         sockets = whole(limits, "sockets", 1_024)
         disk = number(limits, "disk_mb", 3.0)
@@ -119,6 +121,8 @@
         known, seed = table(data, "known"), _seed(field(data, "seed", str, "0"))
     except FieldError as err:
         raise ConfigError(str(err)) from None
+    if told_fd and not (told_fd.isascii() and told_fd.isdigit() and len(told_fd) < 8):
+        raise ConfigError(f"ROUTER_SOCKET_FD: expected a descriptor's number, not {told_fd!r:.80}")
     if sockets < LEAST_SOCKETS:
         raise ConfigError(f"limits.sockets: must be at least {LEAST_SOCKETS}, not {sockets}")
     if disk <= 0:
@@ -133,4 +137,4 @@
         raise ConfigError(f"settings: {err}") from None
     return Config(name=name, listen=listen, discovery=discovery, state=state, seed=seed, sockets=sockets,
                   disk_bytes=int(disk * 1_000_000), log_level=level, known=known, settings=settings,
-                  admin=admin)
+                  admin=admin, socket_fd=int(told_fd) if told_fd else None)
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -178,7 +178,7 @@
         self._events: list[api.Event] = []
         self._turn_due = False
         self._timers: dict[int, Deadline] = {}
-        self._frozen = self._catching_up = False
+        self._frozen = self._catching_up = self._suspended = False
         journal.on_behind = self._behind
 
     # ---- what comes in -----------------------------------------------------------------------------------
@@ -357,6 +357,59 @@
         """Start nothing more; what is out is still taken to its end and journalled."""
         self._frozen = True
 
+    # ---- upgrade -----------------------------------------------------------------------------------------
+    def suspend(self, still: bool) -> None:
+        """Decide nothing and start nothing, or go on; what comes meanwhile is gathered."""
+        self._suspended = still
+        if not still:
+            self._soon(self._turn)
+
+    def settled(self) -> bool:
+        """Whether all that is out is out at the carrier, and the journal holds all that has happened."""
+        executions = [query.execution for query in self._queries if query.execution is not None]
+        return not self._catching_up and all(execution.call is not None for execution in executions)
+
+    def handed(self) -> dict[str, Any]:
+        """All that it knows, for the process that takes over."""
+        return {"sender": self._sender, "queries": self._queries, "by_id": self._by_id, "held": self._held,
+                "out": self._out, "events": self._events}
+
+    def take_over(self, handed: dict[str, Any],
+                  rejoin: Callable[[Cancellable, Callable[[list[Verdict]], None]], None]) -> None:
+        """Go on where another process has stopped, with what was out there.
+
+        `rejoin` puts a call on its connection here, and says to whom its end is told.
+        """
+        self._journal.moor(self._clock)
+        sender: Sender = handed["sender"]
+        now = to_ns(self._clock.now())
+        sender.gov, self._sender = self._governor, sender
+        self._queries, self._by_id = handed["queries"], handed["by_id"]
+        self._held, self._out = handed["held"], handed["out"]
+        self._events = handed["events"] + self._events
+        for m in sender.held.values():
+            self._governor.arrived(now, api.Arrived(m.id, m.cls.name, m.dest.id, max(0, m.deadline - now),
+                                                    key=m.key, lowest=m.lowest), m.cls, m.attempts)
+        for call in sender.running.values():
+            self._governor.sent(now, call.dest.id, len(call.members), call.retries)
+        for execution in {id(query.execution): query.execution for query in self._queries}.values():
+            if execution is not None and execution.call is not None:
+                rejoin(execution.call, lambda verdicts, e=execution: self._returned(e, verdicts))  # type: ignore[misc]
+        known = {query.number for query in self._queries if not query.over}
+        for entry in list(self._journal.entries):
+            if entry.notice is not None:
+                query = Query(entry.number, entry.id, entry.dest, 0.0, entry.token, entry.body, entry.cls,
+                              attempts=entry.attempts, resend=entry.resend, over=True)
+                if entry.resend:
+                    self._settle(query, False, entry.story)
+                else:
+                    self._announce(query, entry.notice, entry.after_ms)
+            elif entry.number not in known:
+                logger.error("upgrade: message {} is in the journal only", entry.id)
+        logger.info("took over {} messages, {} executions out", self._held, self._out)
+        self._event(api.TimerFired(0))    # whatever the other process was to be woken for
+        self._turn()
+
     # ---- turns -------------------------------------------------------------------------------------------
     def _event(self, event: api.Event) -> None:
         """Gather an event; all that comes within a step of the settings is handled together."""
@@ -372,7 +425,7 @@
     def _turn(self, at: float | None = None) -> None:
         """Let the module decide, and carry out what it says."""
         self._turn_due = False
-        if self._frozen or not self._events:
+        if self._frozen or self._suspended or not self._events:
             return
         events, self._events = self._events, []
         now = self._clock.now() if at is None else at
--- a/winchspan/deadlines.py
+++ b/winchspan/deadlines.py
@@ -37,6 +37,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
         self._limit = 1_024
+        self._held = False        # nothing fires: the process holds still
 
     def add(self, at: float, action: Callable[[], None]) -> Deadline:
         """Call `action` once the clock reads `at`."""
@@ -59,8 +60,16 @@
             heappop(self._heap)
         return self._heap[0][0] if self._heap else None
 
+    def hold(self, still: bool) -> None:
+        """Fire nothing, whatever comes due; or go on."""
+        self._held = still
+        if not still:
+            self.run_due()
+
     def run_due(self) -> None:
         """Fire all that is due; an action that raises is logged and does not stop the others."""
+        if self._held:
+            return
         now = self._clock.now()
         while self._heap and (self._heap[0][0] <= now or self._heap[0][2].action is None):
             action = heappop(self._heap)[2].action
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -145,6 +145,10 @@
         life.at_end(found.stop)
         return found
 
+    def lock(self, folder: Path) -> bool:
+        """Machines run one program at a time."""
+        return True
+
     def listen(self, host: str, port: int) -> Listener:
         """Listen on the emulated network."""
         return self._life.listen(port)
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -184,12 +184,15 @@
 
     def close(self) -> None:
         """Write what is owed, if there is room, and let go of the file."""
-        self.catch_up()
+        if self._fd >= 0:
+            self.catch_up()
         self.drop()
 
     def drop(self) -> None:
         """Let go of the file as the system does when a process dies."""
-        os.close(self._fd)
+        if self._fd >= 0:
+            os.close(self._fd)
+        self._fd = -1
 
     def catch_up(self) -> bool:
         """Write what could not be written when it happened; True if nothing is left of it."""
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 from math import ceil
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from loguru import logger
 
@@ -76,6 +76,15 @@
                        token, body, "r" in values, "again" in values)
 
 
+class Handed(NamedTuple):
+    """What is handed over of a client's link, beside its descriptor."""
+
+    unread: bytes             # from the first byte of the first request that is not answered
+    answered: bool
+    faults: int
+    since: float              # when it came, was last answered, or its open request began
+
+
 class ClientLink(asyncio.BufferedProtocol):
     """One client's connection. Every request is answered at once, in the order of reading."""
 
@@ -98,6 +107,42 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
+        if len(self._buffer):             # what another process had read of it
+            self._later = True
+            self._links.later(0.0, self._turn)
+
+    # ---- upgrade -----------------------------------------------------------------------------------------
+    @property
+    def still(self) -> bool:
+        """Whether it can be handed over: all its answers have reached the system."""
+        return (self._transport is not None and not self._transport.is_closing() and not self._unsent
+                and not self._transport.get_write_buffer_size())
+
+    def hold(self, still: bool) -> None:
+        """Read nothing, or read on."""
+        if still and self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+        elif not still:
+            self._read_on()
+
+    def handed(self) -> tuple[int, Handed]:
+        """Its descriptor, and what the process that takes it over must know."""
+        assert self._transport is not None
+        buffer = self._buffer
+        unread = bytes(buffer.data[buffer.start:buffer.end])
+        return (int(self._transport.get_extra_info("socket").fileno()),
+                Handed(unread, self._answered, self.faults, self._since))
+
+    def take_over(self, handed: Handed) -> None:
+        """Go on where another process has stopped."""
+        space = self._buffer.space()
+        while len(space) < len(handed.unread):
+            self._buffer.end += len(space)
+            space = self._buffer.space()
+        self._buffer.start = 0
+        self._buffer.data[:len(handed.unread)] = handed.unread
+        self._buffer.end = len(handed.unread)
+        self._answered, self.faults, self._since = handed.answered, handed.faults, handed.since
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; what it has not been told is withdrawn."""
@@ -232,6 +277,11 @@
         elif age >= (IDLE if not self._links.drained else MUTE):
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close(self) -> None:
         """Close once all answers have left."""
         if self._transport is not None:
@@ -254,7 +304,7 @@
         self._requests = 0
         self._loop: asyncio.AbstractEventLoop | None = None
         self._socket: Listener | None = None
-        self._accepting = False
+        self._accepting = self._held = False
         self._tasks: set[asyncio.Task[object]] = set()
 
     def now(self) -> float:
@@ -290,7 +340,7 @@
         return int(self._socket.getsockname()[1])
 
     def _resume(self) -> None:
-        if self._loop is not None and self._socket is not None and not self._accepting:
+        if self._loop is not None and self._socket is not None and not self._accepting and not self._held:
             self._accepting = True
             self._loop.add_reader(self._socket, self._accept)  # type: ignore[arg-type]
 
@@ -374,6 +424,43 @@
         self._resume()                 # the link that was used may make room now
         return self._requests
 
+    # ---- upgrade -----------------------------------------------------------------------------------------
+    def accept_nobody(self, nobody: bool) -> None:
+        """Let who comes wait at the listening socket, or accept again."""
+        self._held = nobody
+        if nobody:
+            self._pause()
+        else:
+            self._resume()
+
+    def unsettled(self) -> int:
+        """How many links can't be handed over yet: being accepted or closed, or with answers unread."""
+        return len(self._tasks) + sum(not link.still for link in self._links)
+
+    def cut(self) -> None:
+        """Close the links that can't be handed over."""
+        for link in self._links:
+            if not link.still:
+                link.abort()
+
+    def hold(self, still: bool) -> None:
+        """Read nothing from any client, or read on."""
+        for link in self._links:
+            link.hold(still)
+
+    def handed(self) -> list[tuple[int, Handed]]:
+        """All links, those first that have part of a request."""
+        return [link.handed() for link in sorted(self._links, key=lambda link: not link.begun) if link.still]
+
+    def take_over(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, handed: Handed) -> None:
+        """Go on with a client whose connection another process has accepted."""
+        link = ClientLink(self)
+        link.take_over(handed)
+        self.opened(link)
+        task = loop.create_task(self._adopt(loop, link, sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def wind_down(self) -> None:
         """From now on each link is closed once it is idle; clients may still come."""
         self.closing = self._stopping = True
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from base64 import b64encode
 from collections.abc import Callable
 
@@ -14,7 +15,7 @@
 from winchspan.figures import Figures
 from winchspan.net import http
 from winchspan.net.host_group import HostGroup
-from winchspan.net.server_link import Call, CallEnd, Fate, ServerLinks
+from winchspan.net.server_link import Call, CallEnd, Fate, Peer, ServerLinks
 from winchspan.settings import FieldError, read_json
 
 _FATES = {Fate.NOT_WRITTEN: api.Outcome.CONNECT_FAILED, Fate.BROKEN: api.Outcome.RESET,
@@ -43,9 +44,18 @@
             pieces = _one(parcels[0], str(host.address), patience)
         else:
             pieces = _many(parcels, str(host.address), patience)
-        return self._links.call(host.peer, pieces, until,
+        call = self._links.call(host.peer, pieces, until,
                                 lambda end: done(read(end, parcels, self._reports)), begin_by=begin_by,
                                 out=lambda: self._figures.sent(len(parcels)))
+        call.about = parcels
+        return call
+
+    def adopt(self, sock: socket.socket, peer: Peer, call: Call, until: float, parcels: list[Parcel],
+              done: Callable[[list[Verdict]], None]) -> None:
+        """Go on with a call that another process has written; `done` gets a verdict for each parcel."""
+        call.about = parcels
+        self._links.adopt(sock, peer, 0.0, call, until,
+                          lambda end: done(read(end, parcels, self._reports)))
 
     def serves(self, dest: int) -> bool:
         """Whether the list has named an endpoint of a destination; before any list, nobody knows."""
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -147,6 +147,19 @@
         if found:
             self._tell(api.Scope.CHANGES, found)
 
+    # ---- upgrade -----------------------------------------------------------------------------------------
+    def handed(self) -> dict[str, Any]:
+        """All that it knows, for the process that takes over: its numbers name endpoints there, too."""
+        return {"seq": self.seq, "hosts": self.hosts, "dests": self.dests, "numbers": self._numbers,
+                "next": self._next, "by_hand": self.by_hand, "cold": self._cold, "ever": self._ever}
+
+    def take_over(self, handed: dict[str, Any]) -> None:
+        """Go on where another process has stopped."""
+        self.seq, self.hosts, self.dests = handed["seq"], handed["hosts"], handed["dests"]
+        self._numbers, self._next, self.by_hand = handed["numbers"], handed["next"], handed["by_hand"]
+        self._cold, self._ever = handed["cold"], handed["ever"]
+        self._tell(api.Scope.CHANGES, list(self.hosts.values()))
+
     def listed(self) -> list[int]:
         """The numbers of the endpoints in the list."""
         return [host.number for host in self.hosts.values() if host.listing is not api.Listing.GONE]
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -71,7 +72,7 @@
     """One request on its way, from `ServerLinks.call` until its end is told."""
 
     __slots__ = ("pieces", "done", "parser", "link", "timers", "ending", "bounded", "begin_by",
-                 "whole_by", "out")
+                 "whole_by", "out", "about")
 
     def __init__(self, pieces: list[bytes], done: Callable[[CallEnd], None], parser: AnswerParser,
                  bounded: bool, begin_by: float | None) -> None:
@@ -85,6 +86,12 @@
         self.bounded = bounded        # once begun its answer must end soon; a watch's never does
         self.whole_by: Deadline | None = None
         self.out: Callable[[], None] | None = None     # called once its last byte is written
+        self.about: object = None         # what its carrier needs to read the answer
+
+    @classmethod
+    def adopted(cls) -> Call:
+        """A call that another process has written; `ServerLinks.adopt` puts it on its connection."""
+        return cls([], lambda end: None, AnswerParser(), True, None)
 
     def cancel(self) -> None:
         """Stop waiting; the end is told once the connection is closed."""
@@ -116,6 +123,8 @@
     def __init__(self, pool: ServerLinks, peer: Peer) -> None:
         self._pool = pool
         self.peer = peer
+        self.idle_for: float | None = None    # ms that it may stand idle; None: as any other
+        self.adopted = False              # another process has opened it, and written its call
         self.parting = False              # its peer has left: no further call may go on it
         self.handle = 0
         self.call: Call | None = None
@@ -138,6 +147,18 @@
         except OSError:
             self._close()
 
+    def adopt(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        """Go on with a connection that another process has opened."""
+        self._loop = loop
+        self._connecting = loop.create_task(self._adopt(loop, sock))
+
+    async def _adopt(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> None:
+        try:
+            await loop.connect_accepted_socket(lambda: self, sock)
+        except OSError:
+            self.written = True           # by whoever opened it
+            self._close()
+
     def abort(self) -> None:
         """Close at once, whatever is on the way."""
         if self._transport is not None:
@@ -206,11 +227,38 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
-        if self.call is None or self.call.ending is not None:
+        if self.adopted:
+            self.written = True
+            if self.call is None:         # not before: a call would find no connection on it
+                self._pool.idle(self, self.idle_for)
+        elif self.call is None or self.call.ending is not None:
             transport.abort()
         else:
             self._write()
 
+    # ---- upgrade -----------------------------------------------------------------------------------------
+    @property
+    def still(self) -> bool:
+        """Whether it can be handed over: idle, or its call is written and no byte of the answer has come."""
+        if self._transport is None or self._transport.is_closing() or self.closed or self.parting:
+            return False
+        call = self.call
+        return call is None or (self.written and call.ending is None and not call.parser.first_line
+                                and not len(self._buffer))
+
+    def hold(self, still: bool) -> None:
+        """Read nothing, or read on."""
+        if self._transport is not None and not self._transport.is_closing():
+            if still:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    def fileno(self) -> int:
+        """The descriptor of its connection."""
+        assert self._transport is not None
+        return int(self._transport.get_extra_info("socket").fileno())
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone."""
         self._close()
@@ -308,6 +356,51 @@
         link.connect(self._loop)
         return call
 
+    # ---- upgrade -----------------------------------------------------------------------------------------
+    def take_back(self, calls: bool = False) -> None:
+        """Take back what is not written; with `calls`, end also those that are out."""
+        for link in self._links:
+            if link.call is not None and link.peer.number and not link.still:
+                link.call.recall()
+            elif link.call is not None and link.peer.number and calls:
+                link.call.cancel()
+
+    def unsettled(self, calls: bool = False) -> list[ServerLink]:
+        """The links with a call that can't be handed over; with `calls`, all that have one."""
+        return [link for link in self._links
+                if link.peer.number and link.call is not None and (calls or not link.still)]
+
+    def hold(self, still: bool) -> None:
+        """Read nothing from any server, or read on."""
+        for link in self._links:
+            link.hold(still)
+
+    def handed(self) -> tuple[list[ServerLink], list[ServerLink]]:
+        """The links to endpoints that are handed over: those with a call, and the idle ones."""
+        found = [link for link in self._links if link.peer.number and link.still]
+        return [link for link in found if link.call], [link for link in found if not link.call]
+
+    def adopt(self, sock: socket.socket, peer: Peer, idle_for: float, call: Call | None = None,
+              until: float = 0.0, done: Callable[[CallEnd], None] = lambda end: None) -> None:
+        """Take over a connection that another process has opened, with the call that is out on it or idle.
+
+        Args:
+            sock: the connection.
+            peer: who is at its other end.
+            idle_for: ms that it may still be idle.
+            call: what is out on it, from `Call.adopted`.
+            until: reading of the clock at which that is given up.
+            done: gets its end.
+        """
+        link = ServerLink(self, peer)
+        link.adopted, link.idle_for, link.handle = True, idle_for, self._links.add(link)
+        link.written = True               # from the first moment: it must not be taken back as if it were not
+        self._budget.open += 1
+        if call is not None:
+            call.done, call.link, link.call = done, link, call
+            call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
+        link.adopt(self._loop, sock)
+
     def now(self) -> float:
         """The clock's reading."""
         return self._clock.now()
@@ -327,11 +420,12 @@
         if link.call is call and link._transport is None:
             call.stop(Fate.NOT_WRITTEN)
 
-    def idle(self, link: ServerLink) -> None:
+    def idle(self, link: ServerLink, idle_for: float | None = None) -> None:
         """A link is free for another call."""
         self._idle.setdefault(link.peer, []).append(link)
         handle = link.handle
-        link.retire = self._deadlines.after(self._keepalive, lambda: self._retire(handle))
+        most = self._keepalive if idle_for is None else min(idle_for, self._keepalive)
+        link.retire = self._deadlines.after(most, lambda: self._retire(handle))
 
     def _retire(self, handle: int) -> None:
         link = self._links.get(handle)
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import fcntl
 import os
 import socket
 from collections.abc import Mapping
@@ -53,8 +55,36 @@
     def __init__(self, clock: Clock | None = None, environ: Mapping[str, str] = os.environ) -> None:
         self.clock, self.environ = clock or Clock(), environ
         self.disk = Disk()
+        self._locked = -1             # descriptor of the folder that is held
         self.keeper: Any = None       # makes the keeper of undelivered messages, where it may have no thread
 
+    def lock(self, folder: Path) -> bool:
+        """Hold a folder until this process ends, or `unlock`; False while another process holds it."""
+        if self._locked < 0:
+            self._locked = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            fcntl.flock(self._locked, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return False
+        except OSError:               # a file system without locks: as before there were any
+            pass
+        return True
+
+    def unlock(self) -> None:
+        """Let another process hold the folder."""
+        if self._locked >= 0:
+            os.close(self._locked)
+            self._locked = -1
+
+    def inherit(self, descriptor: int) -> Listener:
+        """The listening socket that whoever started this process holds; raises OSError if it is none."""
+        found = socket.socket(fileno=descriptor)
+        if not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            found.detach()
+            raise OSError(errno.EINVAL, "it does not listen")
+        found.setblocking(False)
+        return found
+
     def listen(self, host: str, port: int) -> Listener:
         """Listen for clients at an address; raises OSError."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
--- /dev/null
+++ b/winchspan/upgrade/pack.py
@@ -0,0 +1,97 @@
+"""The state that is handed over, as bytes: our own classes and plain values, and nothing else.
+
+Calls that are out are no state but connections: they travel by number, and `unpack` makes a `Call` for each.
+The governor of retry storms stays behind: the new process has its own, which is told what is held and out.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import io
+import pickle
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from winchspan.interface import Governor
+from winchspan.net.server_link import Call
+
+_OURS = {"winchspan.choice", "winchspan.interface", "winchspan.courier", "winchspan.slots",
+         "winchspan.config", "winchspan.net.host_group", "winchspan.net.server_link",
+         "winchspan.net.client_link"}
+_PLAIN = {("collections", "deque"), ("itertools", "count"), ("random", "Random"), ("builtins", "set"),
+          ("builtins", "bytearray"), ("copyreg", "_reconstructor"), ("builtins", "object"),
+          ("copyreg", "__newobj__")}
+
+
+class HandOverError(Exception):
+    """The state can't be handed over, or can't be read; the message says why, in one line."""
+
+
+class _Pickler(pickle.Pickler):
+    def __init__(self, file: io.BytesIO, calls: Mapping[int, int]) -> None:
+        super().__init__(file, protocol=5)
+        self._calls = calls
+
+    def persistent_id(self, obj: object) -> int | str | None:
+        """A call by its number."""
+        if isinstance(obj, Governor):
+            return "governor"
+        if isinstance(obj, Call):
+            if id(obj) not in self._calls:
+                raise HandOverError("a call is out that has no connection to hand over")
+            return self._calls[id(obj)]
+        return None
+
+
+class _Unpickler(pickle.Unpickler):
+    def __init__(self, file: io.BytesIO) -> None:
+        super().__init__(file)
+        self.calls: dict[int, Call] = {}
+
+    def persistent_load(self, pid: object) -> Call | Governor:
+        """The call of a number, not yet on its connection."""
+        if pid == "governor":
+            return Governor()
+        if not isinstance(pid, int):
+            raise HandOverError(f"no call {pid!r:.40}")
+        return self.calls.setdefault(pid, Call.adopted())
+
+    def find_class(self, module: str, name: str) -> Any:
+        """Only what is ours, or plain: bytes from elsewhere must not name a function to call."""
+        if "." not in name and (module in _OURS or (module, name) in _PLAIN):
+            return super().find_class(module, name)
+        raise HandOverError(f"{module}.{name} is no part of a state")
+
+
+def pack(state: Mapping[str, Any], calls: list[Call]) -> bytes:
+    """The state as bytes; raises HandOverError if it holds a call that is not among those given."""
+    file = io.BytesIO()
+    try:
+        _Pickler(file, {id(call): number for number, call in enumerate(calls)}).dump(dict(state))
+    except (pickle.PicklingError, TypeError, AttributeError, RecursionError) as err:
+        raise HandOverError(f"the state can't be packed: {err!r:.200}") from None
+    return file.getvalue()
+
+
+def unpack(data: bytes) -> tuple[dict[str, Any], dict[int, Call]]:
+    """The state, and the calls that it names by their numbers; raises HandOverError."""
+    reader = _Unpickler(io.BytesIO(data))
+    try:
+        state = reader.load()
+    except HandOverError:
+        raise
+    except Exception as err:      # whatever a spoilt pickle may raise
+        raise HandOverError(f"the state can't be read: {err!r:.200}") from None
+    if not isinstance(state, dict):
+        raise HandOverError("the state is no table")
+    return state, reader.calls
+
+
+def fingerprint() -> str:
+    """Names the deciding modules and the form of what is handed over: equal only if they are, to the byte."""
+    found, root = hashlib.sha256(), Path(__file__).parent.parent
+    for name in ("choice.py", "interface.py", "courier.py", "slots.py", "config.py", "upgrade/pack.py",
+                 "net/host_group.py", "net/server_link.py", "net/client_link.py"):
+        found.update((root / name).read_bytes())
+    return found.hexdigest()[:32]
--- /dev/null
+++ b/winchspan/upgrade/parts.py
@@ -0,0 +1,172 @@
+"""The parts of a courier as a hand-over handles them: the giver's side, and what the taker makes of it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+
+from winchspan.clock import Clock
+from winchspan.courier import Cancellable, Courier, Verdict
+from winchspan.deadlines import Deadlines
+from winchspan.journal import Journal
+from winchspan.net.client_link import ClientLinks, Handed
+from winchspan.net.hooks import Hooks
+from winchspan.net.host_group import HostGroup
+from winchspan.net.server_link import Call, ServerLinks
+from winchspan.upgrade.link import Offer
+from winchspan.upgrade.pack import HandOverError, pack
+
+
+@dataclass(slots=True)
+class Whole:
+    """All parts of one courier."""
+
+    clock: Clock
+    deadlines: Deadlines
+    journal: Journal
+    group: HostGroup
+    courier: Courier
+    clients: ClientLinks
+    links: ServerLinks
+    hooks: Hooks
+
+
+class Giving:
+    """The serving process, on its way out."""
+
+    def __init__(self, whole: Whole, room: Callable[[], int], on_stop: Callable[[], None],
+                 on_end: Callable[[], None]) -> None:
+        """Make it.
+
+        Args:
+            whole: the courier.
+            room: how many descriptors two processes may hold beyond those of this one.
+            on_stop: stop as at SIGTERM.
+            on_end: let go of the folder, and end.
+        """
+        self._whole, self._room, self._on_stop, self._on_end = whole, room, on_stop, on_end
+        self._same = True
+        self.held = False         # it stands still
+        self._handed: list[int] = []
+
+    def settle(self, same: bool) -> None:
+        """Accept nobody, start nothing, and take back what is not written."""
+        self._same = same
+        self._whole.courier.suspend(True)
+        self._whole.clients.accept_nobody(True)
+        self._whole.links.take_back()
+
+    def settled(self) -> bool:
+        """Whether all that is left can be handed over."""
+        whole = self._whole
+        return (whole.courier.settled() and not whole.clients.unsettled()
+                and not whole.links.unsettled(calls=not self._same))
+
+    def cut(self) -> None:
+        """End what has not settled: it may have run, and the journal and the module hear so."""
+        left = self._whole.links.unsettled(calls=not self._same)
+        logger.warning("upgrade: cuts {} calls and {} client links that do not settle", len(left),
+                       self._whole.clients.unsettled())
+        for link in left:
+            if link.call is not None:
+                link.call.cancel()
+        self._whole.clients.cut()
+
+    def offer(self) -> Offer:
+        """Hold still, and give the state; raises HandOverError."""
+        whole = self._whole
+        self.held = True
+        whole.deadlines.hold(True)
+        whole.clients.hold(True)
+        whole.links.hold(True)
+        if not whole.journal.catch_up():
+            raise HandOverError("the journal can't be written; its disk may be full")
+        busy, idle = whole.links.handed()
+        clients, room, now = whole.clients.handed(), self._room(), whole.clock.now()
+        idle = idle[:max(0, room - len(busy) - len(clients))]      # both processes hold what is on its way
+        clients = clients[:max(0, room - len(busy))]
+        state: dict[str, Any] = {"drained": whole.clients.drained, "clients": [tuple(h) for _, h in clients]}
+        if not self._same:
+            return self._offered(pack(state, []), [fd for fd, _ in clients])
+        calls = [link.call for link in busy if link.call is not None]
+        state |= {"courier": whole.courier.handed(), "group": whole.group.handed(),
+                  "busy": [(link.peer, link.call.timers[0].at, link.call.about)
+                           for link in busy if link.call is not None],
+                  "idle": [(link.peer, link.retire.at - now if link.retire else 0.0) for link in idle]}
+        return self._offered(pack(state, calls), [link.fileno() for link in busy] + [fd for fd, _ in clients]
+                             + [link.fileno() for link in idle])
+
+    def _offered(self, state: bytes, descriptors: list[int]) -> Offer:
+        self._handed = descriptors
+        return Offer(state, descriptors)
+
+    def give(self) -> None:
+        """Close the journal, and our copies of the connections.
+
+        Guards against a connection that the new process closes while our copy keeps it open: an endpoint
+        would take a call that was given up for one that is out, and a client would write where nobody reads.
+        """
+        self._whole.journal.close()
+        nothing = os.open(os.devnull, os.O_RDWR | os.O_CLOEXEC)
+        for descriptor in self._handed:
+            os.dup2(nothing, descriptor, inheritable=False)   # its number still has an owner here
+        os.close(nothing)
+
+    def resume(self) -> None:
+        """Go on as if nothing had been asked."""
+        whole, self.held = self._whole, False
+        whole.clients.accept_nobody(False)
+        whole.clients.hold(False)
+        whole.links.hold(False)
+        whole.courier.suspend(False)
+        whole.deadlines.hold(False)
+
+    def stop(self) -> None:
+        """Stop as at SIGTERM."""
+        self._on_stop()
+
+    def end(self) -> None:
+        """Nothing is left to do here."""
+        self._on_end()
+
+
+def adopt(whole: Whole, loop: asyncio.AbstractEventLoop, state: dict[str, Any], calls: dict[int, Call],
+          descriptors: list[int]) -> None:
+    """Go on where another process has stopped: its decisions, its calls that are out, its clients.
+
+    Args:
+        whole: this process's parts, fresh.
+        loop: where the connections go on.
+        state: what `Giving.offer` packed.
+        calls: the calls that it names, by number.
+        descriptors: the connections, in the order of the state.
+    """
+    sockets = [socket.socket(fileno=fd) for fd in descriptors]
+    for sock in sockets:
+        sock.setblocking(False)
+    busy, handed, idle = state.get("busy", []), state["clients"], state.get("idle", [])
+    by_call = {id(call): number for number, call in calls.items()}
+
+    def rejoin(call: Cancellable, done: Callable[[list[Verdict]], None]) -> None:
+        number = by_call[id(call)]
+        assert isinstance(call, Call)
+        peer, until, parcels = busy[number]
+        whole.hooks.adopt(sockets[number], peer, call, until, parcels, done)
+
+    if "courier" in state:
+        whole.group.take_over(state["group"])
+        whole.courier.take_over(state["courier"], rejoin)
+    else:
+        whole.courier.recover()
+    for sock, of in zip(sockets[len(busy):], handed, strict=False):
+        whole.clients.take_over(loop, sock, Handed(*of))
+    for sock, (peer, idle_for) in zip(sockets[len(busy) + len(handed):], idle, strict=True):
+        whole.links.adopt(sock, peer, idle_for)
+    if state["drained"]:
+        whole.clients.out_of_service()
--- /dev/null
+++ b/winchspan/upgrade/start.py
@@ -0,0 +1,50 @@
+"""A start beside a process that may be serving: waits for the folder, or takes over from who holds it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from winchspan.net.server_link import Call
+from winchspan.upgrade import link
+from winchspan.upgrade.pack import fingerprint, unpack
+
+SAY_EACH = 100            # tries between two lines that tell what it waits for
+
+
+@dataclass(slots=True)
+class Inherited:
+    """What a new process has got from the one that served before it."""
+
+    state: dict[str, Any] = field(default_factory=dict)      # empty: nothing
+    calls: dict[int, Call] = field(default_factory=dict)
+    descriptors: list[int] = field(default_factory=list)
+
+
+def begin(folder: Path, lock: Callable[[], bool]) -> Inherited:
+    """Wait until the folder is ours, by its holder's word or its end.
+
+    Args:
+        folder: the one that lasts.
+        lock: locks it; False while another process holds it.
+    """
+    mine, tries = fingerprint(), 0
+    while not lock():
+        found = Inherited()
+
+        def check(data: bytes, found: Inherited = found) -> None:
+            found.state, found.calls = unpack(data)
+        if (taken := link.take(folder, mine, check)) is not None:
+            found.descriptors = taken.sockets
+            while not lock():                 # it closes the journal before it says that it is ours
+                link.wait(link.LOOK)
+            return found
+        if tries % SAY_EACH == 0:
+            logger.info("upgrade: {} is held by another process; waiting for it", folder)
+        tries += 1
+        link.wait(link.AGAIN)
+    return Inherited()
