Put other settings in force at SIGHUP; open messages keep the class they were taken under

A file that lacks a key of the one in force is turned down whole; a discovery that only the environment names is no exception any more, since a file without the key is not whole.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
     "winchspan.clock": 0, "winchspan.deadlines": 0, "winchspan.slots": 0, "winchspan.config": 0,
     "winchspan.settings": 0, "winchspan.logs": 0, "winchspan.operator": 0, "winchspan.sketch": 0,
     "winchspan.interface": 0, "winchspan.system": 0, "winchspan.figures": 0,
-    "winchspan.choice": 1, "winchspan.storms": 1, "winchspan": 1,
+    "winchspan.choice": 1, "winchspan.retune": 1, "winchspan.storms": 1, "winchspan": 1,
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
     "winchspan.courier": 2, "winchspan.journal": 2,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -123,8 +123,9 @@
     config = reload(env, running)
     assert str(config.discovery) == "127.0.0.6:2"
     assert (config.seed, config.name) == (running.seed, running.name)
-    write(tmp_path, discovery=None)
-    assert str(reload(env, running).discovery) == "127.0.0.5:1"
+    write(tmp_path, discovery=None)      # the file is not whole, whatever the variable says
+    with pytest.raises(ConfigError, match="discovery"):
+        reload(env, running)
     for text in ("", "{", "[]", '{"discovery": "nowhere"}', '{"discovery": "127.0.0.6:2"}'):
         (tmp_path / "config.json").write_text(text)
         with pytest.raises(ConfigError):
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -82,6 +82,7 @@
         own = OWN_FILES + (ADMIN_FILES if config.admin else 0)
         budget = self._budget = SocketBudget(config.sockets - own)
         self._figures = Figures(settings.classes)
+        self._classes = dict(settings.classes)      # those in force, for whoever looks at them later
         links = self._links = ServerLinks(loop, self._clock, self._deadlines, budget,
                             to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
         self._group = HostGroup(lambda news: self._courier.listed(news), links.part,
@@ -96,11 +97,14 @@
                                 Announcements(self._notices, words), loop.call_soon, governor,
                                 self._keep(operator.get("undelivered", {}), settings), self._figures)
         self._watch = Watch(self._group, links, self._deadlines, config.discovery)
-        most = max(budget.limit // 2, budget.limit - settings.slots - 4)   # the rest is for server links
-        self._clients = ClientLinks(self._courier, self._clock, self._deadlines, budget, most,
+        self._clients = ClientLinks(self._courier, self._clock, self._deadlines, budget, self._most(settings),
                                     links.retire_oldest, words)
         self._done = asyncio.Event()
 
+    def _most(self, settings: api.Settings) -> int:
+        """How many client links there may be; the rest is for server links."""
+        return max(self._budget.limit // 2, self._budget.limit - settings.slots - 4)
+
     _report: Report | None = None
     _keeper: Keeper | None = None
     _server: ControlServer | None = None
@@ -175,7 +179,7 @@
             from winchspan.undelivered.queries import Context
             from winchspan.undelivered.setup import rules
 
-            context = Context(rules(self._rules), self._config.settings.classes)
+            context = Context(rules(self._rules), self._classes)
         offered = commands(self._courier, self._keeper, self._clock, context)
         server = ControlServer(path, offered, self._deadlines)
         try:
@@ -200,8 +204,8 @@
         from winchspan.undelivered.resender import Resender
         from winchspan.undelivered.setup import rules
 
-        classes = self._config.settings.classes
-        Resender(rules(self._rules), classes, self._clock, self._deadlines, keeper, self._courier).start()
+        Resender(rules(self._rules), self._classes, self._clock, self._deadlines, keeper,
+                 self._courier).start()
 
     def _storms(self, values: Mapping[str, Any], settings: api.Settings) -> api.Governor:
         """The governor of retry storms, and whoever writes down what it sees."""
@@ -266,16 +270,33 @@
     def _reload(self) -> None:
         """SIGHUP: read the configuration again; one that cannot be used changes nothing."""
         try:
-            self._config = reload(self._system.environ, self._config)
+            config = reload(self._system.environ, self._config)
         except ConfigError as err:
             self._figures.conf_invalid += 1
             logger.error("SIGHUP: the old configuration goes on: {}", err)
             return
         self._figures.conf_loaded += 1
+        if config.settings != self._config.settings:
+            self._retune(config.settings)
+        self._config = config
         self._watch.move(self._config.discovery)
         self._notices.move(self._config.discovery)
         logger.info("SIGHUP: discovery is at {}", self._config.discovery)
 
+    def _retune(self, found: api.Settings) -> None:
+        """Other settings hold, everywhere in one step."""
+        settings = replace(found, ends_are_heard=True, can_recall=True)
+        self._courier.retune(settings)
+        self._hooks.retune({n: k.per_call for n, k in settings.kinds.items()}, settings.answers_report)
+        self._links.retune(to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
+        self._clients.retune(self._most(settings))
+        self._classes.clear()
+        self._classes.update(settings.classes)
+        if self._keeper is not None:
+            self._keeper.retune(settings)
+        logger.info("SIGHUP: classes {}, {} attempts, {} slots", ", ".join(settings.classes),
+                    settings.max_attempts, settings.slots)
+
     def _stop(self) -> None:
         """SIGTERM: a hand-over that has begun comes to its end first."""
         if self._giver is not None:
--- a/winchspan/choice.py
+++ b/winchspan/choice.py
@@ -155,12 +155,11 @@
     """Decides for one sender. The same settings, seed and events give the same actions."""
 
     def __init__(self, settings: Settings, seed: int, governor: api.Governor | None = None) -> None:
-        self.s, self.gov = settings, governor or api.Governor()   # of retry storms; inert if none
+        self.gov = governor or api.Governor()   # of retry storms; inert if none
         self.rng = random.Random(seed)
         self.now = 0
         self.v = 0
         self.v_at: int | None = None
-        self.free = list(range(settings.slots))
         self.dests: dict[int, Destination] = {}
         self.active: dict[int, Destination] = {}  # those with a message held or a call out, by order
         self.running: dict[int, Call] = {}         # calls in flight by slot, in the order sent
@@ -179,12 +178,17 @@
         self.idle_trust, self.trust_again = NEVER, 0
         self.usual: dict[str, tuple[float, float]] = {}  # by kind, latency of deliveries and its deviation
         self.spare: dict[str, tuple[int, int]] = {}  # by kind, how long connections may idle, since when
-        half = max(1, settings.slots // 2)
-        cap = max(1, -(-3 * settings.slots // 4) - 1)   # strictly under three quarters of the slots
-        self.half, self.cap = min(half, cap), cap
+        self.retune(settings)
         if settings.must_subscribe:
             self.actions.append(api.Subscribe())
 
+    def retune(self, settings: Settings) -> None:
+        """Decide by other settings from now on; messages held keep the class that they were taken under."""
+        self.s = settings
+        self.free = [slot for slot in range(settings.slots) if slot not in self.running]
+        self.cap = max(1, -(-3 * settings.slots // 4) - 1)   # strictly under three quarters of the slots
+        self.half = min(max(1, settings.slots // 2), self.cap)
+
     def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
         """Take what happened up to `now`, in order, and return what to do."""
         self.now = now
@@ -301,10 +305,7 @@
             self.actions.extend(api.Recall(e.id) for e in endpoints if e.calls)
 
     def _forget(self) -> None:
-        """Drop endpoints off the list for a cold time, and destinations left without any.
-
-        Not sooner: a list that lost an endpoint for a while must not make its outage forgotten.
-        """
+        """Drop what is off the list, but not for a cold time: a list's mistake must not hide an outage."""
         for e in [e for e in self.endpoints.values() if e.gone is not None and not e.calls]:
             if e.gone is not None and self.now - e.gone > self.s.cold_ns:
                 del self.endpoints[e.id]
@@ -577,7 +578,7 @@
         if m.ran_at is not None and m.cls.effect is not Effect.REPEATABLE and (
                 m.cls.effect is Effect.ONCE or self.now + self.s.step_ns >= self._last_send(m)):
             return True
-        return self._late(m) or m.attempts >= self.s.max_attempts
+        return self._late(m) or m.attempts >= (m.cls.max_attempts or self.s.max_attempts)
 
     def _judge(self, event: api.Ended, call: Call) -> None:
         """What one call's outcome says of its endpoint, once for all messages in it."""
@@ -644,7 +645,8 @@
             e.idle.append(self.now)
             if e.kind in self.spare:
                 self._at(self.now + self._may_idle(e.kind), e)
-        insort(self.free, call.slot)
+        if call.slot < self.s.slots:
+            insort(self.free, call.slot)
         del self.running[call.slot]
         self._rest(d)
 
--- a/winchspan/config.py
+++ b/winchspan/config.py
@@ -13,9 +13,10 @@
 from typing import Any
 
 from winchspan import interface as api
-from winchspan.settings import FieldError, field, number, read_json, settings_from_wire, table, whole
+from winchspan.settings import FieldError, field, number, read_json, settings_from_wire, shape, table, whole
 
 LEAST_SOCKETS = 32
+_MAY_LACK = frozenset({"known", "seed", "admin"})      # matter at a start only
 
 
 class ConfigError(Exception):
@@ -48,6 +49,7 @@
     known: Mapping[str, Any]
     settings: api.Settings
     admin: Address | None = None      # where operators call; None: nowhere
+    told: frozenset[str] = frozenset()    # the keys that the file has, as paths
     socket_fd: int | None = None      # the clients' listening socket, where the platform holds it
 
 
@@ -88,14 +90,24 @@
 
 
 def reload(env: Mapping[str, str], running: Config) -> Config:
-    """Read the file anew and return the running configuration with its `discovery`; raises a ConfigError.
+    """Read the file anew and return the running configuration with its `discovery` and `settings`.
 
     What ROUTER_DISCOVERY says is as old as the process: the file wins, or the watch could never move. All
-    else that the file says is checked, and holds from the next start on.
+    else that the file says is checked, and holds from the next start on. Raises a ConfigError; also where a
+    key is missing that the file had before, since a file that is not whole must not become a default.
     """
     data = _read(env.get("ROUTER_CONFIG", ""))
+    told = _told(data)
+    if missing := sorted(running.told - told, key=lambda path: (path.count("."), path)):
+        raise ConfigError(f"{missing[0]}: missing; the configuration in force has it")
     old = {"ROUTER_DISCOVERY": ""} if "discovery" in data else {}
-    return replace(running, discovery=_build({**env, **old}, data).discovery)
+    new = _build({**env, **old}, data)
+    return replace(running, discovery=new.discovery, settings=new.settings, told=told)
+
+
+def _told(data: dict[str, Any]) -> frozenset[str]:
+    """The keys that a file has; a list of endpoints may come or not."""
+    return frozenset(shape(data, but=_MAY_LACK))
 
 
 def _build(env: Mapping[str, str], data: dict[str, Any]) -> Config:
@@ -137,4 +149,4 @@
         raise ConfigError(f"settings: {err}") from None
     return Config(name=name, listen=listen, discovery=discovery, state=state, seed=seed, sockets=sockets,
                   disk_bytes=int(disk * 1_000_000), log_level=level, known=known, settings=settings,
-                  admin=admin, socket_fd=int(told_fd) if told_fd else None)
+                  admin=admin, told=_told(data), socket_fd=int(told_fd) if told_fd else None)
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, NamedTuple, Protocol
 
 from loguru import logger
@@ -19,6 +19,8 @@
 from winchspan.deadlines import Deadline, Deadlines
 from winchspan.figures import Figures
 from winchspan.journal import Entry, Journal, JournalFull
+from winchspan.retune import LAG, between, bound
+from winchspan.settings import FieldError, class_of, class_row
 from winchspan.slots import SlotTable
 
 
@@ -165,10 +167,13 @@
                  soon: Callable[[Callable[[], None]], object],
                  governor: api.Governor | None = None, keeper: Keeper | None = None,
                  figures: Figures | None = None) -> None:
-        self._settings, self._clock, self._deadlines, self._journal = settings, clock, deadlines, journal
+        self._settings = settings = bound(settings)
+        self._clock, self._deadlines, self._journal = clock, deadlines, journal
         self._carrier, self._announcer, self._soon = carrier, announcer, soon
         self._governor, self._keeper = governor or api.Governor(), keeper
-        self._sender = Sender(settings, seed, self._governor)
+        self._known = dict(settings.classes)      # and those of before, of which messages are open
+        self._lag: Deadline | None = None         # until clients name the new classes
+        self._sender = Sender(replace(settings, classes=self._known), seed, self._governor)
         self.figures = figures or Figures()
         self.figures = figures or Figures()
         self._queries: SlotTable[Query] = SlotTable()
@@ -180,6 +185,7 @@
         self._timers: dict[int, Deadline] = {}
         self._frozen = self._catching_up = self._suspended = False
         journal.on_behind = self._behind
+        journal.classes([class_row(cls) for cls in settings.classes.values()])
 
     # ---- what comes in -----------------------------------------------------------------------------------
     @property
@@ -326,13 +332,14 @@
             self._journal.ended(sorted(kept))
         for entry in list(self._journal.entries):
             left = entry.deadline - unix
-            if (cls := self._settings.classes.get(entry.cls)) is not None:
+            name = self._class(entry)
+            if (cls := self._known.get(name)) is not None:
                 left = min(left, LONGEST * to_ms(cls.deadline_ns))   # clocks of two boots may differ
             query = Query(entry.number, entry.id, entry.dest, now + left, entry.token, entry.body, entry.cls,
                           attempts=entry.attempts, tried=None if self._keeper is None else [],
                           resend=entry.resend)
             self._add(query)
-            self._event(self._recovered(entry, left, unix))
+            self._event(self._recovered(entry, name, left, unix))
             if entry.notice is not None and entry.resend:
                 self._over(query)
                 self._settle(query, False, entry.story)
@@ -342,13 +349,13 @@
         logger.info("recovered {} open messages from {} bytes", len(self._queries), self._journal.found)
         self._turn(now)      # their ages hold now: later, each repeat would seem to have as much more time
 
-    def _recovered(self, entry: Entry, left: float, unix: float) -> api.Recovered:
+    def _recovered(self, entry: Entry, cls: str, left: float, unix: float) -> api.Recovered:
         """What the module must know of a message; an execution that was out may have run."""
         rests = entry.out_at is not None
         if rests:
             self._journal.returned([entry.number], may_have_run=True)
         return api.Recovered(
-            api.Arrived(entry.id, entry.cls, entry.dest, to_ns(max(0.0, left)), key=entry.key,
+            api.Arrived(entry.id, cls, entry.dest, to_ns(max(0.0, left)), key=entry.key,
                         lowest=entry.resend > 0),
             entry.attempts, None if entry.ran_at is None else to_ns(max(0.0, unix - entry.ran_at)),
             entry.ran_zone, rests, over=entry.notice is not None)
@@ -357,6 +364,50 @@
         """Start nothing more; what is out is still taken to its end and journalled."""
         self._frozen = True
 
+    # ---- other settings ----------------------------------------------------------------------------------
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings from now on; messages that are open keep the class that they were taken under.
+
+        Until clients go by them, a class that has changed binds as the stricter of both.
+        """
+        self._turn()                      # what was taken before was taken under the old ones
+        new, old = bound(settings), self._settings.classes
+        self._put_in_force(replace(new, classes=between(old, new.classes)))
+        if self._lag is not None:
+            self._lag.cancel()
+        self._lag = self._deadlines.after(LAG, lambda: self._settle_on(new))
+
+    def _settle_on(self, settings: api.Settings) -> None:
+        """Clients go by the new classes alone now."""
+        self._turn()
+        self._lag = None
+        self._put_in_force(settings)
+
+    def _put_in_force(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._known = dict(settings.classes)
+        self._journal.classes([class_row(cls) for cls in settings.classes.values()])
+        self.figures.offer(settings.classes)
+        self._sender.retune(replace(settings, classes=self._known))
+        self._governor.retune(settings)
+        self._event(api.TimerFired(0))    # there may be more slots
+
+    def _class(self, entry: Entry) -> str:
+        """The module's name for the class that a message of the life before was taken under."""
+        for row in self._journal.tables.get(entry.table, ()):
+            if row.get("name") == entry.cls:
+                try:
+                    cls = class_of(row)
+                except FieldError as err:
+                    logger.error("journal: table {}: {}", entry.table, err)
+                    break
+                if cls == self._known.get(entry.cls):
+                    break
+                name = f"{entry.cls}\n{entry.table}"      # a line's end: no class of the platform has one
+                self._known[name] = cls
+                return name
+        return entry.cls
+
     # ---- upgrade -----------------------------------------------------------------------------------------
     def suspend(self, still: bool) -> None:
         """Decide nothing and start nothing, or go on; what comes meanwhile is gathered."""
@@ -407,6 +458,7 @@
             elif entry.number not in known:
                 logger.error("upgrade: message {} is in the journal only", entry.id)
         logger.info("took over {} messages, {} executions out", self._held, self._out)
+        sender.retune(replace(self._settings, classes=self._known))    # this process's own may differ
         self._event(api.TimerFired(0))    # whatever the other process was to be woken for
         self._turn()
 
--- a/winchspan/interface.py
+++ b/winchspan/interface.py
@@ -67,6 +67,7 @@
     dedup_ns: int = 0
     dedup_per_zone: bool = False
     ordered: bool = False
+    max_attempts: int = 0     # that a message of it may have; 0: as the settings say for all
 
 
 @dataclass(slots=True, frozen=True)
@@ -367,6 +368,9 @@
     def reborn(self, now: int, call_at: int) -> None:
         """This is not the first life of the sender: the one before began its last call at a reading."""
 
+    def retune(self, settings: Settings) -> None:
+        """Other settings hold from now on."""
+
     def listed(self, now: int, destination: int, rate: float) -> None:
         """The list gives the calls a second that a destination takes from all senders; 0: not stated."""
 
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -55,12 +55,15 @@
     after_ms: int = 0
     resend: int = 0               # the number of a kept message that this one sends again
     story: dict[str, Any] | None = None   # why it ended, for whoever keeps undelivered messages
+    table: int = 0                # the table of classes that it was taken under; 0: not known
     size: int = 0                 # bytes of its records in a file written anew
 
     def records(self) -> list[bytes]:
         """The records that stand for it in a file written anew."""
         fields: dict[str, Any] = {"n": self.number, "id": self.id, "c": self.cls, "k": self.key,
                                   "d": self.dest, "until": self.deadline, "token": self.token}
+        if self.table:
+            fields["v"] = self.table
         if self.resend:
             fields["resend"] = self.resend
         if self.attempts or self.ran_at is not None:
@@ -92,6 +95,8 @@
         self._live = 0             # bytes of a file written anew
         self._next = 1
         self._anchor: tuple[str, float] | None = None   # a boot, and how far its lasting time is ahead
+        self.tables: dict[int, list[dict[str, Any]]] = {}   # classes, by the number of their table
+        self._table = 0            # the one in force
         self.offline: list[str] = []   # names of endpoints left out by hand
         self.last_call = 0.0       # when the latest execution began, Unix ms; 0: none is known of
         self._new.unlink(missing_ok=True)   # a rewriting that the last process did not finish
@@ -133,7 +138,7 @@
              body: bytes, resend: int = 0, ran_at: float | None = None) -> int:
         """Record that a message is taken on and return its number; raises JournalFull."""
         entry = Entry(self._next, entry_id, cls, key, dest, deadline, token, body, ran_at=ran_at,
-                      resend=resend)
+                      resend=resend, table=self._table)
         data = entry.records()[0]
         # What it takes for ever: its record now, and once more when the file is written anew.
         if self._live + 2 * len(data) + self._live > self._limit * _TAKE:
@@ -174,6 +179,16 @@
         for number in numbers:
             self._apply_end(number)
 
+    def classes(self, rows: list[dict[str, Any]]) -> None:
+        """Record the classes under which messages are taken from now on."""
+        if self.tables.get(self._table) != rows:
+            number = max(self.tables, default=0) + 1
+            self.tables[number], self._table = rows, number
+            self._owe(self._classes(number))
+
+    def _classes(self, number: int) -> bytes:
+        return _record({"t": "classes", "v": number, "rows": self.tables[number]})
+
     def by_hand(self, names: list[str]) -> None:
         """Record which endpoints are left out by hand, all of them."""
         self.offline = names
@@ -237,12 +252,15 @@
                           float(fields["until"]), fields["token"], body, fields.get("tries", 0),
                           fields.get("out"), fields.get("out_zone", ""), fields.get("ran"),
                           fields.get("ran_zone", ""), fields.get("notice"), fields.get("after", 0),
-                          fields.get("resend", 0), fields.get("story"))
+                          fields.get("resend", 0), fields.get("story"), int(fields.get("v", 0)))
             self._entries[entry.number] = entry
             self._resize(entry, size)
             self._next = max(self._next, entry.number + 1)
         elif kind == "clock":
             self._anchor = str(fields["boot"]), float(fields["ahead"])
+        elif kind == "classes":
+            self._table = int(fields["v"])
+            self.tables[self._table] = list(fields["rows"])
         elif kind == "offline":
             self.offline = [str(name) for name in fields["names"]]
         elif kind == "last":
@@ -329,6 +347,9 @@
         last = _record({"t": "last", "at": self.last_call}) if self.last_call else b""
         if self._anchor is not None:
             last += _record({"t": "clock", "boot": self._anchor[0], "ahead": self._anchor[1]})
+        needed = {entry.table for entry in self._entries.values()} | {self._table}
+        for number in sorted(needed & self.tables.keys()):      # the one in force comes last
+            last += self._classes(number)
         if self.offline:
             last += self._offline()
         total = sum(len(piece) for piece in pieces.values()) + len(last)
@@ -350,5 +371,6 @@
         os.close(self._fd)
         self._unwritten.clear()                   # the new file holds what they tell
         self._fd, self._size, self._live = fd, total, total
+        self.tables = {number: rows for number, rows in self.tables.items() if number in needed}
         for number, piece in pieces.items():
             self._entries[number].size = len(piece)
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -298,8 +298,8 @@
         self.closing = self._stopping = False
         self.drained = False              # operators have taken this courier out of service
         self._clock, self._deadlines = clock, deadlines
-        self._budget, self._most, self._make_room = budget, most, make_room
-        self._most_idle = max(AT_ONCE, most // IDLE_PART)
+        self._budget, self._make_room = budget, make_room
+        self.retune(most)
         self._links: SlotTable[ClientLink] = SlotTable()
         self._requests = 0
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -307,6 +307,10 @@
         self._accepting = self._held = False
         self._tasks: set[asyncio.Task[object]] = set()
 
+    def retune(self, most: int) -> None:
+        """Other settings: how many links may be open."""
+        self._most, self._most_idle = most, max(AT_ONCE, most // IDLE_PART)
+
     def now(self) -> float:
         """The clock's reading."""
         return self._clock.now()
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -35,6 +35,10 @@
         self._group, self._links, self._clock, self._kinds = group, links, clock, kinds
         self._reports = reports           # whether the settings say that answers hold load reports
 
+    def retune(self, kinds: dict[str, int], reports: bool) -> None:
+        """Other settings: messages that a call may hold by kind, and whether answers hold load reports."""
+        self._kinds, self._reports = kinds, reports
+
     def start(self, endpoint: int, parcels: list[Parcel], until: float, begin_by: float | None,
               done: Callable[[list[Verdict]], None]) -> Call:
         """Begin a call; `done` gets a verdict for each parcel."""
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -318,12 +318,16 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, deadlines: Deadlines,
                  budget: SocketBudget, connect_timeout: float, keepalive: float) -> None:
         self._loop, self._clock, self._deadlines, self._budget = loop, clock, deadlines, budget
+        self.retune(connect_timeout, keepalive)
+        self._links: SlotTable[ServerLink] = SlotTable()
+        self._idle: dict[Peer, list[ServerLink]] = {}
+
+    def retune(self, connect_timeout: float, keepalive: float) -> None:
+        """Other settings, in ms, for connections from now on."""
         self._connect_timeout = connect_timeout
         # An idle link is retired well before the server would close it: a request that crosses with that
         # close ends as a reset, and may have run.
         self._keepalive = max(keepalive - 1_000.0, keepalive / 2)
-        self._links: SlotTable[ServerLink] = SlotTable()
-        self._idle: dict[Peer, list[ServerLink]] = {}
 
     def call(self, peer: Peer, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
              on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None,
--- a/winchspan/settings.py
+++ b/winchspan/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import fields
 from typing import Any, TypeVar
 
 from winchspan import interface as api
@@ -74,6 +75,32 @@
     return field(obj, name, dict, empty)
 
 
+def class_row(cls: api.MessageClass) -> dict[str, Any]:
+    """A class as JSON, for whoever must know it later; `class_of` reads it."""
+    return {**{item.name: getattr(cls, item.name) for item in fields(cls)}, "effect": cls.effect.value}
+
+
+def class_of(row: dict[str, Any]) -> api.MessageClass:
+    """What `class_row` has written; raises FieldError."""
+    try:
+        return api.MessageClass(**{**row, "effect": api.Effect(row["effect"])})
+    except (KeyError, TypeError, ValueError) as err:
+        raise FieldError(f"no class: {err!r:.80}") from None
+
+
+def shape(data: Any, at: str = "", but: frozenset[str] = frozenset()) -> set[str]:
+    """The paths of all keys that have a value; of a list's rows those that all of them have."""
+    found: set[str] = set()
+    if isinstance(data, dict):
+        for key, value in data.items():
+            path = f"{at}.{key}" if at else str(key)
+            if value is not None and path not in but:
+                found |= {path} | shape(value, path, but)
+    elif isinstance(data, list) and data and all(isinstance(row, dict) for row in data):
+        found = set.intersection(*(shape(row, f"{at}[]", but) for row in data))
+    return found
+
+
 def settings_from_wire(info: dict[str, Any]) -> api.Settings:
     """Translate the settings object; unknown keys are ignored."""
     limits, rules, family = table(info, "limits"), table(info, "rules"), table(info, "family_info")
--- a/winchspan/storms/governor.py
+++ b/winchspan/storms/governor.py
@@ -88,19 +88,24 @@
     def __init__(self, settings: api.Settings, storms: StormSettings, recent: Recent,
                  others: Counter) -> None:
         self._s, self._storms, self._recent, self._others = settings, storms, recent, others
-        self._senders = storms.senders or settings.senders
         self._part = storms.parts[settings.me] if settings.me < len(storms.parts) else 0.0
+        self.retune(settings)
         self._watched: dict[int, Watched] = {}
         self._rates: dict[int, float] = {}        # listed, of destinations that are not tracked yet
         self._book = Book(storms.keys, storms.grace_ns, storms.early_ns)
         self._spread = (settings.me / max(1, self._senders) + (storms.seed % 997) / 997) % 1.0
-        self._most_worth = max((cls.worth for cls in settings.classes.values()), default=1.0) or 1.0
         self._fades_at = 0
         self._last_life = -2 * SECOND             # the last call of the life before
         self._untracked = 0
         self.news: deque[News] = deque(maxlen=MOST_NEWS)
 
     # ---- who is tracked ----------------------------------------------------------------------------------
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings hold from now on; what is known of partners stays."""
+        self._s = settings
+        self._senders = self._storms.senders or settings.senders
+        self._most_worth = max((cls.worth for cls in settings.classes.values()), default=1.0) or 1.0
+
     @property
     def watched(self) -> Iterator[Watched]:
         """The destinations tracked, for reports."""
--- a/winchspan/undelivered/keeper.py
+++ b/winchspan/undelivered/keeper.py
@@ -73,6 +73,10 @@
         self._thread.start()
 
     # ---- on the loop -------------------------------------------------------------------------------------
+    def retune(self, platform: api.Settings) -> None:
+        """Other settings of the platform hold from now on."""
+        self._platform = platform
+
     def wants(self, state: str) -> bool:
         """Whether messages that end so are kept."""
         return self._s.failed if state == "failed" else self._s.returned
@@ -80,7 +84,7 @@
     def story(self, entry: Entry, tried: list[Tried], seen: dict[str, Any]) -> dict[str, Any]:
         """Why a message ends, as it goes into the journal with its notice."""
         told, now = tuple(Attempt(*one) for one in tried), self._clock.unix()
-        cls = self._platform.classes[entry.cls]
+        cls = self._platform.classes.get(entry.cls) or api.MessageClass(entry.cls)   # gone: the safest kind
         why = evidence.reason(self._clock.lasting(), entry.deadline, entry.attempts,
                               self._platform.max_attempts, entry.ran_at, cls,
                               2 * self._platform.step_ns / 1e6 + 50.0)
