--- a/benchmarks/undelivered.py
+++ b/benchmarks/undelivered.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import cProfile
 import resource
 import statistics
 import tempfile
@@ -146,6 +147,28 @@
         return time.process_time() - begin
 
 
+def process(job: tuple[bool, int]) -> float:
+    """CPU seconds of a courier's process in half a minute in which everything is delivered."""
+    logger.remove()
+    on, seed = job
+    streams = (Stream("order-payment", 8, 80.0, end=30_000.0, keys=2_000),
+               Stream("gallery-notice", 8, 40.0, end=30_000.0))
+    partner = PartnerSettings(number=8, listed=400.0, capacity=400.0, service=20.0, queue=200)
+    with tempfile.TemporaryDirectory() as folder:
+        played = Rehearsal(Scenario((partner,), streams, 1, lasts=30_000.0), seed, Path(folder),
+                           OPERATOR if on else None)
+        found = asyncio.run(played.run())
+        assert found.delivered == found.ended, f"{found.ended - found.delivered} were not delivered"
+    return played.cpu[0]
+
+
+def calls(on: bool) -> int:
+    """Function calls of the same run: a cost that does not depend on the machine."""
+    profile = cProfile.Profile()
+    profile.runcall(ordinary, on, 1)
+    return sum(entry.callcount for entry in profile.getstats())
+
+
 def flood(job: tuple[int, int]) -> tuple[float, int, int]:
     """Live worth while so many kept messages are released at once at a partner that has just come back.
 
@@ -208,12 +231,23 @@
 @click.option("--kept", type=click.IntRange(1_000, 10_000_000), default=100_000, show_default=True)
 @click.option("--pairs", type=click.IntRange(1, 50), default=25, show_default=True, help="of ordinary runs")
 @click.option("--sockets", is_flag=True, help="only the proof, on real sockets")
+@click.option("--cpu", type=click.IntRange(1, 50), help="only the ordinary path, in pairs of processes")
 @click.option("--memory", type=click.FloatRange(1, 600), help="only memory, over so many minutes")
-def main(runs: int, kept: int, pairs: int, sockets: bool, memory: float | None) -> None:
+def main(runs: int, kept: int, pairs: int, sockets: bool, cpu: int | None, memory: float | None) -> None:
     """Print the figures."""
     if memory is not None:
         over_time(memory)
         return
+    if cpu is not None:
+        with ProcessPoolExecutor(2) as pool:     # a pair at a time
+            jobs = [(on, seed) for seed in range(1, cpu + 1) for on in (True, False)]
+            spent = list(pool.map(process, jobs))
+        both_on, both_off = spent[::2], spent[1::2]
+        parts = [on / off - 1 for on, off in zip(both_on, both_off, strict=True)]
+        click.echo(f"CPU of a process, 3,600 messages: {statistics.mean(both_off):.2f} s off, "
+                   f"{statistics.mean(both_on):.2f} s on ({sum(both_on) / sum(both_off) - 1:+.1%}; pairs "
+                   f"{min(parts):+.1%} to {max(parts):+.1%})")
+        return
     with ProcessPoolExecutor(10 if sockets else None) as pool:
         found = list(pool.map(on_sockets if sockets else play, range(1, runs + 1)))
     for name in found[0]:
@@ -234,6 +268,8 @@
     least = min(on for on, _ in both) / min(off for _, off in both) - 1
     click.echo(f"ordinary path, on against off: {least:+.1%} CPU, least of {pairs} runs each (median of the "
                f"pairs {statistics.median(parts):+.1%}, {min(parts):+.1%} to {max(parts):+.1%})")
+    more, less = calls(True), calls(False)
+    click.echo(f"function calls: {less} off, {more} on ({more / less - 1:+.1%})")
     large(kept)
 
 
--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -96,6 +96,15 @@
             return 0
         return int(pages) * os.sysconf("SC_PAGE_SIZE")
 
+    def spent(self) -> float:
+        """CPU seconds of this life; 0 if it is not running, or the system does not tell."""
+        try:
+            stat = (Path("/proc") / str(self._process.pid) / "stat").read_text() if self._process else ""
+            user, system = stat.rpartition(")")[2].split()[11:13]
+        except (OSError, ValueError):
+            return 0.0
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def crashed(self) -> bool:
         """Whether it has ended by itself."""
         return self._process is not None and self._process.poll() is not None
@@ -143,6 +152,7 @@
         self.partners: dict[int, Partner] = {}
         self.began = 0.0          # a reading of the run's clock, ms
         self.memory: list[tuple[float, list[int]]] = []
+        self.cpu: list[float] = []    # seconds of each courier's latest life, when the run has ended
 
     def clock(self) -> Clock:
         """The clock that the run goes by."""
@@ -236,6 +246,7 @@
                     elif courier.crashed():
                         raise RehearsalError(f"courier n{me} has ended: {courier.last_words()}; see "
                                              f"{self._folder}/n{me}/log")
+            self.cpu = [courier.spent() for courier in couriers]
             return result(partners[scenario.partners[0].number], clients, began, began + scenario.lasts)
         finally:
             desk.close()
