Play upgrades, drains, retuning and endpoints by hand in the emulator, audited

Need: the hand-over's rules were shown on sockets alone, where few orders of events come up.

Change: troubles drain, offline, retune and upgrade; an emulated upgrade uses the same steps, state and adoption, with ends of the emulated network as descriptors; the auditor knows what is offline by hand and which classes bind.

Measured: eight orders of upgrades with kills, stops, full disks, drains, lists by hand and retuning break no rule, 24 upgrades make no call twice. Mutations that drop the pending events, the endpoints by hand, or the stillness while the state is out fail; an adopted call that counts as unwritten is caught by its own test.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -325,3 +325,41 @@
     emulation.begins = begins  # type: ignore[method-assign]
     emulation.play()
     assert 700.0 < max(ends) <= 3_700.0
+
+
+# ---- operators -------------------------------------------------------------------------------------------
+OPERATED = {
+    "upgrades": tuple(Trouble(2_000.0 + 700.0 * n, "upgrade", f"n{n % 3}") for n in range(24)),
+    "upgrades that are killed": tuple(
+        Trouble(2_000.0 + 700.0 * n + late, what, f"n{n % 3}", lasts=400.0) for n in range(24)
+        for what, late in (("upgrade", 0.0), ("vanish", 4.0 * (n % 8)))),
+    "upgrades of who ends": tuple(Trouble(2_000.0 + 1_500.0 * n + late, what, f"n{n % 3}", lasts=400.0)
+                                  for n in range(10) for what, late in (("upgrade", 0.0), ("term", 3.0 * n))),
+    "upgrades on a full disk": tuple(Trouble(2_000.0 + 1_500.0 * n + late, what, f"n{n % 3}", lasts=300.0)
+                                     for n in range(10) for what, late in (("full", 0.0), ("upgrade", 50.0))),
+    "drains": tuple(Trouble(2_000.0 + 2_000.0 * n + late, what, f"n{n % 3}", lasts=1_500.0)
+                    for n in range(8) for what, late in (("drain", 0.0), ("upgrade", 600.0))),
+    "offline": tuple(Trouble(2_000.0 + 1_500.0 * n + late, what, f"n{n % 3}", "partner 7", 1_000.0)
+                     for n in range(10) for what, late in (("offline", 0.0), ("upgrade", 90.0))),
+    "offline and killed": tuple(Trouble(2_000.0 + 1_500.0 * n + late, what, f"n{n % 3}", "partner 7", 900.0)
+                                for n in range(10) for what, late in (("offline", 0.0), ("vanish", 300.0))),
+    "retuned": tuple(Trouble(2_000.0 + 2_500.0 * n + late, what, f"n{n % 3}", lasts=2_000.0)
+                     for n in range(7)
+                     for what, late in (("retune", 0.0), ("upgrade", 500.0), ("term", 900.0))),
+}
+
+
+@pytest.mark.parametrize("name", OPERATED)
+def test_what_operators_do_breaks_no_rule(tmp_path: Path, name: str):
+    scenario = storm_scenario(0.7, partner=PartnerSettings(), lasts=20_000.0)
+    emulation = Emulation(scenario, 5, tmp_path, surroundings=Surroundings(
+        Way(1.0, 2.0), torn=True, troubles=OPERATED[name]))
+    found = emulation.play()
+    r = found.result
+    assert (r.early, r.double, r.unended, r.falls, r.twice) == (0, 0, 0, 0, 0)
+    assert found.breaches == []
+    assert r.worth > {"offline": 0.3, "offline and killed": 0.3, "retuned": 0.7}.get(name, 0.85)
+    upgrades = sum(p.upgrades for p in emulation._processes)
+    assert upgrades >= {"upgrades": 24, "offline and killed": 0}.get(name, 3)
+    if name == "upgrades":
+        assert emulation.auditor.calls == emulation.auditor.taken, "no call is made again"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import pickle
 import signal
@@ -20,9 +21,15 @@
 from examples.submit import request
 from winchspan import interface as api
 from winchspan.choice import Sender
-from winchspan.config import ConfigError, load
+from winchspan.clock import SetClock
+from winchspan.config import Address, ConfigError, load
+from winchspan.courier import Courier, Verdict
+from winchspan.deadlines import Deadlines
 from winchspan.interface import Outcome
-from winchspan.net.server_link import Call
+from winchspan.net.server_link import Call, CallEnd, Fate, Peer, ServerLinks, SocketBudget
+from winchspan.sketch import CountMin, RecentKeys
+from winchspan.storms.governor import StormGovernor
+from winchspan.storms.settings import StormSettings
 from winchspan.upgrade.link import take
 from winchspan.upgrade.pack import HandOverError, pack, unpack
 from winchspan.upgrade.steps import SETTLE_WITHIN, TAKE_WITHIN, Do, Giver, State
@@ -105,6 +112,36 @@
         assert mine == its
 
 
+def test_the_governor_goes_along_and_an_upgrade_puts_no_destination_in_doubt(tmp_path: Path):
+    """Told anew, each message with a second attempt made its destination one that comes back cold."""
+    def governor(**told: object) -> StormGovernor:
+        storms = StormSettings(**told)  # type: ignore[arg-type]
+        return StormGovernor(settings(), storms, RecentKeys(0, 1_000, SECOND), CountMin())
+
+    world = World(tmp_path)
+    world.put("m", "keyed", key=1)
+    for _ in range(2):
+        world.out.sent.pop().end(Verdict(Outcome.ERROR))
+        world.run(1_500)
+    before = governor(seed=1)
+    before.listed(0, 1, 10.0)
+    before.arrived(0, api.Arrived("x", "safe", 1, SECOND), settings().classes["safe"])
+    world.courier._sender.gov = before
+    world.courier.suspend(True)
+    state, _ = unpack(pack({"gov": before}, []))
+    assert governor(seed=2).goes_on(state["gov"]) and not governor(least_part=2.0).goes_on(state["gov"])
+    assert [w.id for w in state["gov"].watched] == [1]
+
+    for told, same in ((StormSettings(seed=2), True), (StormSettings(room=0.25), False)):
+        mine = StormGovernor(settings(), told, RecentKeys(0, 1_000, SECOND), CountMin())
+        world.courier._sender.gov = before
+        fresh = Courier(world.settings, 1, world.clock, world.deadlines, world.journal, world.out, world.out,
+                        world.turns.append, mine)
+        fresh.take_over(world.courier.handed(), lambda call, done: None)
+        assert (fresh.governor is before) == same
+        assert not [w.id for w in fresh.governor.watched if w.course.in_trouble]  # type: ignore[attr-defined]
+
+
 def test_state_holds_nothing_but_our_own_classes_and_calls_that_have_a_connection():
     class Trap:
         def __reduce__(self) -> object:
@@ -160,6 +197,29 @@
     assert world.courier.held == 0 and not list(world.journal.entries)
 
 
+def test_a_call_taken_over_cannot_be_taken_back_as_unwritten_and_ends_with_its_answer():
+    """Before its connection was up here it counted as not written, and went out a second time."""
+    async def play() -> list[CallEnd]:
+        loop, clock, ends = asyncio.get_running_loop(), SetClock(), list[CallEnd]()
+        pool = ServerLinks(loop, clock, Deadlines(clock), SocketBudget(9), 1_000.0, 5_000.0)
+        mine, theirs = socket.socketpair()
+        mine.setblocking(False)
+        peer = Peer(Address("127.0.0.1", 1), 11)
+        pool.adopt(mine, peer, 0.0, Call.adopted(), clock.now() + 9_000.0, ends.append)
+        pool.recall(peer)
+        pool.take_back()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert not ends
+        theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        while not ends:
+            await asyncio.sleep(0)
+        theirs.close()
+        return ends
+
+    assert [end.fate for end in asyncio.run(play())] == [Fate.ANSWERED]
+
+
 # ---- real processes --------------------------------------------------------------------------------------
 def listening() -> socket.socket:
     found = socket.create_server(("127.0.0.1", 0))
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -113,7 +113,7 @@
     _giving: Giving | None = None
     _serving = False
 
-    def _parts(self) -> Whole:
+    def parts(self) -> Whole:
         """All parts, as an upgrade handles them."""
         from winchspan.upgrade.parts import Whole
 
@@ -129,7 +129,7 @@
         def room() -> int:      # of the descriptors that both may hold, what is left beside two sets of files
             return self._config.sockets - self._budget.open - 2 * (OWN_FILES + ADMIN_FILES)
 
-        self._giving = Giving(self._parts(), room, self._stop_now, self._given)
+        self._giving = Giving(self.parts(), room, self._stop_now, self._given)
         self._giver = GiverLink(self._config.state, fingerprint(), self._giving, self._clock.now)
         try:
             self._giver.listen(self._loop)
@@ -142,7 +142,7 @@
         self._system.unlock()
         self._done.set()
 
-    def _operations(self) -> Operations:
+    def operations(self) -> Operations:
         """What operators can ask for."""
         from winchspan.admin.operations import Operations
 
@@ -165,7 +165,7 @@
         """Listen for operators; raises OSError."""
         from winchspan.admin.front import AdminFront
 
-        self._admin = AdminFront(self._operations(), self._deadlines)
+        self._admin = AdminFront(self.operations(), self._deadlines)
         self._admin.listen(self._loop, self._system.listen(address.host, address.port))
         logger.info("operators call at {}", address)
 
@@ -241,7 +241,10 @@
         if self._inherited is not None and state:
             from winchspan.upgrade.parts import adopt
 
-            adopt(self._parts(), self._loop, state, self._inherited.calls, self._inherited.descriptors)
+            adopt(self.parts(), self._loop, self._system, state, self._inherited.calls,
+                  self._inherited.descriptors)
+            if self._report is not None:
+                self._report.follow(self._courier.governor)  # type: ignore[arg-type]
         else:
             self._courier.recover()
         if self._keeper is not None:
@@ -251,7 +254,7 @@
         self._watch.open()
         listen = self._config.listen
         self._clients.listen(self._loop, self._listener or self._system.listen(listen.host, listen.port))
-        if self._listener is not None:
+        if self._config.socket_fd is not None:
             self._hand_over_when_asked()
         logger.info("{} listens on {}", self._config.name, self._config.listen)
         self._serving = True
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -205,6 +205,11 @@
         return {"held": self._held, "max_held": self._settings.max_held, "executions_out": self._out,
                 "slots": self._settings.slots, "frozen": self._frozen, "destinations": dests}
 
+    @property
+    def governor(self) -> api.Governor:
+        """The governor in force; an upgrade may bring the one of the process before."""
+        return self._governor
+
     @property
     def held(self) -> int:
         """Messages taken and not ended."""
@@ -434,15 +439,16 @@
         self._journal.moor(self._clock)
         sender: Sender = handed["sender"]
         now = to_ns(self._clock.now())
-        sender.gov, self._sender = self._governor, sender
+        self._sender = sender
+        if self._governor.goes_on(sender.gov):
+            self._governor = sender.gov
+            self._governor.retune(self._settings)
+        else:             # told otherwise by its operator: it begins anew, but nothing here was tried in vain
+            sender.gov = self._governor
+            self._acquaint(sender, now)
         self._queries, self._by_id = handed["queries"], handed["by_id"]
         self._held, self._out = handed["held"], handed["out"]
         self._events = handed["events"] + self._events
-        for m in sender.held.values():
-            self._governor.arrived(now, api.Arrived(m.id, m.cls.name, m.dest.id, max(0, m.deadline - now),
-                                                    key=m.key, lowest=m.lowest), m.cls, m.attempts)
-        for call in sender.running.values():
-            self._governor.sent(now, call.dest.id, len(call.members), call.retries)
         for execution in {id(query.execution): query.execution for query in self._queries}.values():
             if execution is not None and execution.call is not None:
                 rejoin(execution.call, lambda verdicts, e=execution: self._returned(e, verdicts))  # type: ignore[misc]
@@ -462,6 +468,14 @@
         self._event(api.TimerFired(0))    # whatever the other process was to be woken for
         self._turn()
 
+    def _acquaint(self, sender: Sender, now: int) -> None:
+        """Tell a new governor what is held, and what is out."""
+        for m in sender.held.values():
+            self._governor.arrived(now, api.Arrived(m.id, m.cls.name, m.dest.id, max(0, m.deadline - now),
+                                                    key=m.key, lowest=m.lowest), m.cls)
+        for call in sender.running.values():
+            self._governor.sent(now, call.dest.id, len(call.members), call.retries)
+
     # ---- turns -------------------------------------------------------------------------------------------
     def _event(self, event: api.Event) -> None:
         """Gather an event; all that comes within a step of the settings is handled together."""
@@ -569,7 +583,8 @@
             if query is None:
                 continue
             query.execution = None
-            if query.tried is not None:
+            delivered = verdict.over and not query.over and not query.resend   # nothing of it will be kept
+            if query.tried is not None and not delivered:
                 query.tried.append(Tried(self._carrier.describe(execution.endpoint)[0],
                                          self._clock.unix() - to_ms(latency), verdict.outcome.value,
                                          to_ms(latency), verdict.wait_ms))
--- a/winchspan/emulator/auditor.py
+++ b/winchspan/emulator/auditor.py
@@ -10,7 +10,7 @@
 import json
 import re
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from zlib import crc32
 
@@ -94,6 +94,13 @@
     alive: bool = False
     hosts: dict[str, Told] = field(default_factory=dict)
     waits: dict[int, tuple[int, int]] = field(default_factory=dict)   # destination: from when, until when
+    by_hand: dict[str, int] = field(default_factory=dict)    # endpoints offline, and since when
+    classes: Mapping[str, MessageClass] | None = None         # in force there; None: the platform's
+
+    def left(self, told: Told) -> int | None:
+        """When an endpoint was first to get nothing new: by the list, or by hand."""
+        found = [at for at in (told.leaves, self.by_hand.get(told.name)) if at is not None]
+        return min(found, default=None)
 
     def may_have_missed(self, at: int) -> bool:
         """Whether what reached its system then may not have been read before its life ended."""
@@ -259,6 +266,18 @@
         self._seats[place].alive = False
         self._seats[place].down_at = self._now()
 
+    def by_hand(self, place: str, name: str, offline: bool) -> None:
+        """A courier has said yes to leaving an endpoint out, or to putting it back."""
+        seat = self._seats[place]
+        if offline:
+            seat.by_hand.setdefault(name, self._now())
+        else:
+            seat.by_hand.pop(name, None)
+
+    def retuned(self, place: str, classes: Mapping[str, MessageClass]) -> None:
+        """From now on these classes bind what is handed in to a courier."""
+        self._seats[place].classes = classes
+
     def opened(self, end: End, port: int) -> None:
         """An end has been opened."""
         seat = self._seats.get(end.place)
@@ -297,7 +316,8 @@
             return None
         key, id_ = words[1].decode("latin-1").lstrip("0"), words[2].decode("latin-1")
         names = dict(part.split("=", 1) for part in words[3].decode("latin-1").split(",") if "=" in part)
-        cls = self._s.classes.get(names.get("c", ""))
+        classes = self._s.classes if seat.classes is None else seat.classes
+        cls = classes.get(names.get("c", ""))
         if cls is None or id_ in self._known:
             return None
         try:
@@ -370,9 +390,10 @@
         if hosts and all(told.dest != m.dest for told in hosts):
             self.breach("dest", m.id, began, f"for {m.dest}, and sent to an endpoint of {hosts[0].dest}")
         grace = self._s.drain_grace_ns + GRACE
-        if hosts and all(told.leaves is not None and began > told.leaves + grace for told in hosts):
+        gone = [seat.left(told) for told in hosts]
+        if hosts and all(at is not None and began > at + grace for at in gone):
             told = hosts[-1]
-            since = (began - (told.leaves or 0)) / MS
+            since = (began - (gone[-1] or 0)) / MS
             self.breach("drain", m.id, began, f"{told.name} was told to leave {since:.0f} ms before")
         begin, until = seat.waits.get(m.dest, (0, 0))
         if begin + CROSSING < began < until - GRACE:
--- a/winchspan/emulator/emulation.py
+++ b/winchspan/emulator/emulation.py
@@ -16,12 +16,15 @@
 from winchspan.emulator.auditor import Auditor, Breach
 from winchspan.emulator.loop import EmulatedLoop
 from winchspan.emulator.machine import Life, Machine, MachineClock, MachineSystem
-from winchspan.emulator.network import Network, Way
+from winchspan.emulator.network import EmulatedListener, Network, Way
+from winchspan.emulator.operators import CLIENTS_LAG, Upgrade, classes_retuned, retuned
+from winchspan.interface import Listing
 from winchspan.operator.sections import load as load_operator
 from winchspan.standins.audit import Result
 from winchspan.standins.platform import platform
 from winchspan.standins.rehearsal import Process, Rehearsal
 from winchspan.standins.scenario import Scenario
+from winchspan.upgrade.start import Inherited
 
 OUTSIDE = "outside"       # where clients stand
 AGENT = "agent"           # of discovery: on each courier's own machine
@@ -46,7 +49,8 @@
     `what`: `cut` one direction from `source` to `target` for `lasts`, `vanish` a courier's machine for so
     long, `full` its disk for so long, `reset` the connections of `source` (with `target`, where given),
     `step` the wall time of a courier's machine by `lasts`, `hup` or `term` a courier (it is back after
-    `lasts`).
+    `lasts`). Operators `drain` a courier for `lasts`, take one endpoint of `target` `offline` there for so
+    long, `retune` it to other settings for so long, or `upgrade` it to a new process.
     """
 
     at: float
@@ -56,7 +60,8 @@
     lasts: float = 0.0
 
 
-TROUBLES = ("cut", "vanish", "reset", "step", "hup", "term", "full")
+TROUBLES = ("cut", "vanish", "reset", "step", "hup", "term", "full", "drain", "offline", "retune",
+            "upgrade")
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +103,10 @@
         self._task: asyncio.Task[None] | None = None
         self._starts: asyncio.TimerHandle | None = None
         self.buried: list[asyncio.Task[Any]] = []
+        self._daemon: Daemon | None = None
+        self._plain: bytes | None = None      # its configuration as it was first
+        self._upgrade: Upgrade | None = None
+        self.upgrades = 0                     # that went through
 
     def configure(self, scenario: Scenario, discovery: int, known: dict[str, object]) -> None:
         """As a process's; raises EmulationError for what is not emulated."""
@@ -120,14 +129,61 @@
         self._starts = None
         if self.machine.running or self.machine.dark:
             return                            # two troubles met; who comes last starts it
+        self._live()
+        self._auditor.began(self.machine.place)
+
+    def _live(self, inherited: Inherited | None = None, listener: EmulatedListener | None = None) -> None:
+        """A new life, by itself or beside the one before, which has ended."""
         environ = {"ROUTER_CONFIG": str(self._folder / "config.json")}
         operator: Operator = load_operator(self._operator) if self._told is not None else {}
         life = self.machine.begin()
+        if listener is not None:
+            life.inherit(listener)
         loop = cast(asyncio.AbstractEventLoop, life)      # as much of one as a daemon uses
-        daemon = Daemon(load(environ), loop, operator, MachineSystem(life, environ))
-        life.at_end(daemon.crash)
-        self._auditor.began(self.machine.place)
-        self._task = life.create_task(daemon.run())
+        self._daemon = Daemon(load(environ), loop, operator, MachineSystem(life, environ), inherited,
+                              listener)
+        life.at_end(self._daemon.crash)
+        self._task = life.create_task(self._daemon.run())
+
+    # ---- operators ---------------------------------------------------------------------------------------
+    @property
+    def serving(self) -> bool:
+        """Whether operators find a daemon there that is not about to end."""
+        busy = self._upgrade is not None and not self._upgrade.over
+        return self._task is not None and self.machine.running and not busy
+
+    def ask(self, path: str) -> bool:
+        """Call a courier as operators do; whether it has said yes."""
+        if not self.serving or self._daemon is None:
+            return False
+        return self._daemon.operations().call("POST", path).status == 200
+
+    def endpoint_of(self, partner: int) -> str:
+        """The name of a partner's endpoint as the courier knows it; empty if it knows none."""
+        hosts = self._daemon.parts().group.hosts.values() if self._daemon is not None else ()
+        return next((host.name for host in hosts if host.dest == partner
+                     and host.listing is not Listing.GONE), "")
+
+    def upgrade(self) -> None:
+        """A new process takes over from the one that serves."""
+        life, listener = self.machine.life, self.machine.network.listener(self.port)
+        if not self.serving or self._daemon is None or life is None or listener is None:
+            return
+
+        def begin(inherited: Inherited) -> None:
+            self.buried += life.bury()
+            self.upgrades += 1
+            self._live(inherited, listener)
+        self._upgrade = Upgrade(self.machine.network.loop, self._daemon, life, listener, begin)
+        self._upgrade.start()
+
+    def retune(self, on: bool) -> None:
+        """Give it other settings, or its own again."""
+        path = self._folder / "config.json"
+        if self._plain is None:
+            self._plain = path.read_bytes()
+        retuned(path, self._plain, on)
+        self.signal(signal.SIGHUP)
 
     def crashed(self) -> bool:
         """Whether it has ended by itself; raises what ended it."""
@@ -161,6 +217,9 @@
     def terminate(self, back: float) -> None:
         """End it in good order, and start it again some ms after it has ended."""
         task, life = self._task, self.machine.life
+        if self._upgrade is not None and not self._upgrade.over:      # the hand-over comes first
+            self.machine.network.loop.call_later(0.05, self.terminate, back)
+            return
         if task is None or life is None:
             return
         self._task = None                     # its end is no crash
@@ -187,6 +246,10 @@
         """The run is over."""
         self.kill()
 
+    def spent(self) -> float:
+        """All couriers of an emulation share one process."""
+        return 0.0
+
     def resident(self) -> int:
         """All couriers of an emulation share one process."""
         return 0
@@ -206,6 +269,7 @@
         for source, target, way in self._round.ways:
             self.network.set_way(source, target, way)
         self._processes: list[EmulatedProcess] = []
+        self._binding: dict[str, asyncio.TimerHandle] = {}     # other settings that clients will go by
         places = [courier_place(me) for me in range(scenario.couriers)]
         self.auditor = Auditor(platform(scenario.couriers, **scenario.changes), places, lambda: self._loop.ns)
         self.network.tap = self.auditor
@@ -264,9 +328,44 @@
             self._loop.call_later(t.lasts / 1_000.0, self._fill, struck.machine, False)
         elif t.what == "hup":
             struck.signal(signal.SIGHUP)
+        elif t.what == "upgrade":
+            struck.upgrade()
+        elif t.what == "drain":
+            struck.ask("/control/out-of-service")
+            self._loop.call_later(t.lasts / 1_000.0, struck.ask, "/control/in-service")
+        elif t.what == "retune":
+            self._retune(struck, True)
+            self._loop.call_later(t.lasts / 1_000.0, self._retune, struck, False)
+        elif t.what == "offline":
+            self._leave_out(struck, t)
         else:
             struck.terminate(t.lasts)
 
+    def _retune(self, struck: EmulatedProcess, on: bool) -> None:
+        """Other settings; until they bind, clients go by either, and the laxer of both is held to."""
+        struck.retune(on)
+        place, plain = struck.machine.place, dict(platform(self._scenario.couriers,
+                                                           **self._scenario.changes).classes)
+        self.auditor.retuned(place, plain)
+        if place in self._binding:
+            self._binding.pop(place).cancel()
+        if on:
+            self._binding[place] = self._loop.call_later(CLIENTS_LAG, self.auditor.retuned, place,
+                                                         classes_retuned(plain, on))
+
+    def _leave_out(self, struck: EmulatedProcess, t: Trouble) -> None:
+        """One endpoint of a partner is left out for a while; the call back is repeated until it is heard."""
+        name = struck.endpoint_of(int(t.target.removeprefix("partner ") or 0))
+        path, place = f"/control/endpoints/{name}", struck.machine.place
+
+        def back() -> None:
+            self.auditor.by_hand(place, name, False)
+            if not struck.ask(f"{path}/online"):
+                self._loop.call_later(0.1, back)
+        if name and struck.ask(f"{path}/offline"):
+            self.auditor.by_hand(place, name, True)
+            self._loop.call_later(t.lasts / 1_000.0, back)
+
     @staticmethod
     def _fill(machine: Machine, full: bool) -> None:
         machine.disk.full = full
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -149,6 +149,10 @@
         """Machines run one program at a time."""
         return True
 
+    def connection(self, descriptor: int) -> Any:
+        """An end of the emulated network."""
+        return self._life.machine.network.end_of(descriptor)
+
     def listen(self, host: str, port: int) -> Listener:
         """Listen on the emulated network."""
         return self._life.listen(port)
@@ -198,6 +202,21 @@
         self.call_soon(self._signals[number])
         return True
 
+    def release(self, end: End) -> None:
+        """Hand an end over: nothing of this life hears of it any more."""
+        self._ends = [one for one in self._ends if one is not end]
+        end.detach()
+
+    def release_listener(self, listener: EmulatedListener) -> None:
+        """Leave a listening socket open for the next life."""
+        self._listeners = [one for one in self._listeners if one is not listener]
+        listener.told = None
+
+    def inherit(self, listener: EmulatedListener) -> None:
+        """Go on with a listening socket that a life before has left open."""
+        listener.life = self
+        self._listeners.append(listener)
+
     # ---- what the daemon calls ---------------------------------------------------------------------------
     def time(self) -> float:
         """The machine's clock, in seconds."""
--- a/winchspan/emulator/network.py
+++ b/winchspan/emulator/network.py
@@ -99,6 +99,7 @@
         self._next_port, self._numbers = FIRST_PORT, 0
         self._held: deque[tuple[tuple[str, str], Callable[[], None]]] = deque()
         self._ends: dict[End, None] = {}          # in the order of opening
+        self._handed: dict[int, End] = {}         # by descriptor, for a hand-over that has begun
         self.tap: Tap | None = None
 
     # ---- what it is like ---------------------------------------------------------------------------------
@@ -162,6 +163,10 @@
         found = self._listeners[port] = EmulatedListener(self, life, port, place)
         return found
 
+    def listener(self, port: int) -> EmulatedListener | None:
+        """Who listens on a port."""
+        return self._listeners.get(port)
+
     def closed(self, listener: EmulatedListener) -> None:
         """Nobody listens there any more."""
         if self._listeners.get(listener.port) is listener:
@@ -224,6 +229,15 @@
         self.send(life.place, target, 0, 0, knock)
         return up
 
+    def end_of(self, descriptor: int) -> End:
+        """The end of a descriptor, as `End.descriptor` numbers them."""
+        return self._handed[descriptor]
+
+    def hand(self, end: End) -> int:
+        """A descriptor by which an end can be handed over."""
+        self._handed[end.descriptor] = end
+        return end.descriptor
+
     def gone(self, end: End) -> None:
         """An end is over."""
         self._ends.pop(end, None)
@@ -258,13 +272,27 @@
         """Give the end to a protocol; what has come already is read next."""
         self.life, self._protocol = life, protocol
         protocol.connection_made(self)
+        if self.over:                         # it broke while nobody held it
+            self._net.loop.call_soon(self._lost, ConnectionResetError(104, "reset while it was handed over"))
         self._feed_soon()
 
+    @property
+    def descriptor(self) -> int:
+        """A number of its own."""
+        return self._number << 1 | self.side
+
+    def detach(self) -> None:
+        """Nobody hears of it until it is attached again."""
+        self.life = self._protocol = None
+        self._paused = False
+
     def setblocking(self, flag: bool) -> None:
         """As a socket's: it never blocks."""
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         """`unread`: whether something has come, or ended, that the protocol has not been given."""
+        if name == "descriptor":
+            return self._net.hand(self)
         if name == "unread":
             return lambda: bool(self._inbox) or self._ended or self.over
         return (HOST, 0) if name in ("peername", "sockname") else default
@@ -466,7 +494,7 @@
     """A listening socket: `winchspan.system.Listener`."""
 
     def __init__(self, network: Network, life: Life, port: int, place: str) -> None:
-        self._net, self._life, self.port, self.place = network, life, port, place
+        self._net, self.life, self.port, self.place = network, life, port, place
         self._waiting: deque[End] = deque()
         self.accept_all: Callable[[End], None] | None = None
         self.told: Callable[[], None] | None = None    # by add_reader, as long as somebody waits
@@ -486,11 +514,11 @@
 
     def tell(self) -> None:
         """Tell whoever reads, again and again while somebody waits."""
-        if self._waiting and self.told is not None and self._life.alive:
+        if self._waiting and self.told is not None and self.life.alive:
             self._net.loop.call_soon(self._tell)
 
     def _tell(self) -> None:
-        if self._waiting and self.told is not None and self._life.alive:
+        if self._waiting and self.told is not None and self.life.alive:
             self.told()
             self.tell()
 
--- a/winchspan/interface.py
+++ b/winchspan/interface.py
@@ -371,6 +371,10 @@
     def retune(self, settings: Settings) -> None:
         """Other settings hold from now on."""
 
+    def goes_on(self, before: Governor) -> bool:
+        """Whether the one of the process before may take this one's place in an upgrade."""
+        return type(self) is type(before)
+
     def listed(self, now: int, destination: int, rate: float) -> None:
         """The list gives the calls a second that a destination takes from all senders; 0: not stated."""
 
--- a/winchspan/lab/hunt.py
+++ b/winchspan/lab/hunt.py
@@ -19,7 +19,7 @@
 ROUNDS = 200              # runs that one shrinking may take
 AT_ONCE = 512             # days handed to the workers together
 WORST = 200               # that are kept of a hunt
-KINDS = ("cut", "vanish", "reset", "term", "hup", "step", "full")
+KINDS = ("cut", "vanish", "reset", "term", "hup", "step", "full", "drain", "offline", "retune", "upgrade")
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +52,11 @@
             return Trouble(round(at), what, courier, other if rng.random() < 0.5 else "")
         if what == "step":
             return Trouble(round(at), what, courier, "", round(float(rng.normal(0.0, 600.0)) * SECOND))
-        return Trouble(round(at), what, courier, "", round(lasts + 300.0) if what != "hup" else 0.0)
+        if what == "offline":
+            return Trouble(round(at), what, courier, other if other.startswith("partner") else others[0],
+                           round(lasts + 300.0))
+        return Trouble(round(at), what, courier, "",
+                       round(lasts + 300.0) if what not in ("hup", "upgrade") else 0.0)
 
     troubles = tuple(sorted((trouble() for _ in range(int(rng.integers(1, MOST_TROUBLES, endpoint=True)))),
                             key=lambda t: t.at))
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -18,7 +18,7 @@
 from winchspan.net.receive import ReceiveBuffer
 from winchspan.net.server_link import SocketBudget
 from winchspan.slots import SlotTable
-from winchspan.system import Listener
+from winchspan.system import Listener, descriptor
 
 _ID = re.compile(rb"[0-9A-Za-z_-]{1,64}")
 _KEY = re.compile(rb"[0-9a-fA-F]{1,32}")
@@ -130,8 +130,7 @@
         assert self._transport is not None
         buffer = self._buffer
         unread = bytes(buffer.data[buffer.start:buffer.end])
-        return (int(self._transport.get_extra_info("socket").fileno()),
-                Handed(unread, self._answered, self.faults, self._since))
+        return descriptor(self._transport), Handed(unread, self._answered, self.faults, self._since)
 
     def take_over(self, handed: Handed) -> None:
         """Go on where another process has stopped."""
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -20,6 +20,7 @@
 from winchspan.net.http import AnswerParser, HttpError
 from winchspan.net.receive import ReceiveBuffer
 from winchspan.slots import SlotTable
+from winchspan.system import descriptor
 
 WHOLE_WITHIN = 500.0      # from the first byte of an answer to its last
 
@@ -257,7 +258,7 @@
     def fileno(self) -> int:
         """The descriptor of its connection."""
         assert self._transport is not None
-        return int(self._transport.get_extra_info("socket").fileno())
+        return descriptor(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is gone."""
--- a/winchspan/storms/governor.py
+++ b/winchspan/storms/governor.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from winchspan import interface as api
@@ -106,6 +106,11 @@
         self._senders = self._storms.senders or settings.senders
         self._most_worth = max((cls.worth for cls in settings.classes.values()), default=1.0) or 1.0
 
+    def goes_on(self, before: api.Governor) -> bool:
+        """Whether its operator tells the one of the process before the same; seeds differ."""
+        return (isinstance(before, StormGovernor)
+                and replace(before._storms, seed=0) == replace(self._storms, seed=0))
+
     @property
     def watched(self) -> Iterator[Watched]:
         """The destinations tracked, for reports."""
--- a/winchspan/storms/report.py
+++ b/winchspan/storms/report.py
@@ -22,6 +22,10 @@
         if path is not None:
             import prometheus_client  # noqa: F401  # 12 MB, and now rather than in the middle of a storm
 
+    def follow(self, governor: StormGovernor) -> None:
+        """Write down another governor's news from now on."""
+        self._governor = governor
+
     def start(self) -> None:
         """Look for news again and again."""
         self._look()
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import fcntl
 import os
@@ -49,6 +50,12 @@
         os.replace(source, target)
 
 
+def descriptor(transport: asyncio.BaseTransport) -> int:
+    """The descriptor of a connection; an emulated one has a number of its own."""
+    sock = transport.get_extra_info("socket")
+    return int(sock.fileno() if sock is not None else transport.get_extra_info("descriptor"))
+
+
 class System:
     """The real one."""
 
@@ -85,6 +92,12 @@
         found.setblocking(False)
         return found
 
+    def connection(self, descriptor: int) -> Any:
+        """A connection that another process has handed over, for `connect_accepted_socket`."""
+        found = socket.socket(fileno=descriptor)
+        found.setblocking(False)
+        return found
+
     def listen(self, host: str, port: int) -> Listener:
         """Listen for clients at an address; raises OSError."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/winchspan/upgrade/pack.py
+++ b/winchspan/upgrade/pack.py
@@ -1,7 +1,6 @@
 """The state that is handed over, as bytes: our own classes and plain values, and nothing else.
 
 Calls that are out are no state but connections: they travel by number, and `unpack` makes a `Call` for each.
-The governor of retry storms stays behind: the new process has its own, which is told what is held and out.
 """
 
 from __future__ import annotations
@@ -13,13 +12,14 @@
 from pathlib import Path
 from typing import Any
 
-from winchspan.interface import Governor
 from winchspan.net.server_link import Call
 
 _OURS = {"winchspan.choice", "winchspan.interface", "winchspan.courier", "winchspan.slots",
          "winchspan.config", "winchspan.net.host_group", "winchspan.net.server_link",
-         "winchspan.net.client_link"}
-_PLAIN = {("collections", "deque"), ("itertools", "count"), ("random", "Random"), ("builtins", "set"),
+         "winchspan.net.client_link", "winchspan.sketch"}
+_PLAIN = {("collections", "deque"), ("collections", "OrderedDict"), ("array", "array"),
+          ("array", "_array_reconstructor"), ("itertools", "count"), ("random", "Random"),
+          ("builtins", "set"),
           ("builtins", "bytearray"), ("copyreg", "_reconstructor"), ("builtins", "object"),
           ("copyreg", "__newobj__")}
 
@@ -33,10 +33,8 @@
         super().__init__(file, protocol=5)
         self._calls = calls
 
-    def persistent_id(self, obj: object) -> int | str | None:
+    def persistent_id(self, obj: object) -> int | None:
         """A call by its number."""
-        if isinstance(obj, Governor):
-            return "governor"
         if isinstance(obj, Call):
             if id(obj) not in self._calls:
                 raise HandOverError("a call is out that has no connection to hand over")
@@ -49,18 +47,20 @@
         super().__init__(file)
         self.calls: dict[int, Call] = {}
 
-    def persistent_load(self, pid: object) -> Call | Governor:
+    def persistent_load(self, pid: object) -> Call:
         """The call of a number, not yet on its connection."""
-        if pid == "governor":
-            return Governor()
         if not isinstance(pid, int):
             raise HandOverError(f"no call {pid!r:.40}")
         return self.calls.setdefault(pid, Call.adopted())
 
     def find_class(self, module: str, name: str) -> Any:
         """Only what is ours, or plain: bytes from elsewhere must not name a function to call."""
-        if "." not in name and (module in _OURS or (module, name) in _PLAIN):
+        if "." not in name and (module, name) in _PLAIN:
             return super().find_class(module, name)
+        if "." not in name and (module in _OURS or module.startswith("winchspan.storms.")):
+            found = super().find_class(module, name)
+            if isinstance(found, type) and found.__module__ == module:
+                return found
         raise HandOverError(f"{module}.{name} is no part of a state")
 
 
@@ -92,6 +92,7 @@
     """Names the deciding modules and the form of what is handed over: equal only if they are, to the byte."""
     found, root = hashlib.sha256(), Path(__file__).parent.parent
     for name in ("choice.py", "interface.py", "courier.py", "slots.py", "config.py", "upgrade/pack.py",
-                 "net/host_group.py", "net/server_link.py", "net/client_link.py"):
+                 "net/host_group.py", "net/server_link.py", "net/client_link.py", "sketch.py",
+                 *sorted(f"storms/{path.name}" for path in (root / "storms").glob("*.py"))):
         found.update((root / name).read_bytes())
     return found.hexdigest()[:32]
--- a/winchspan/upgrade/parts.py
+++ b/winchspan/upgrade/parts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -19,6 +18,7 @@
 from winchspan.net.hooks import Hooks
 from winchspan.net.host_group import HostGroup
 from winchspan.net.server_link import Call, ServerLinks
+from winchspan.system import System
 from winchspan.upgrade.link import Offer
 from winchspan.upgrade.pack import HandOverError, pack
 
@@ -113,8 +113,12 @@
         would take a call that was given up for one that is out, and a client would write where nobody reads.
         """
         self._whole.journal.close()
+        self.let_go(self._handed)
+
+    def let_go(self, descriptors: list[int]) -> None:
+        """Close our copies of some connections."""
         nothing = os.open(os.devnull, os.O_RDWR | os.O_CLOEXEC)
-        for descriptor in self._handed:
+        for descriptor in descriptors:
             os.dup2(nothing, descriptor, inheritable=False)   # its number still has an owner here
         os.close(nothing)
 
@@ -136,20 +140,19 @@
         self._on_end()
 
 
-def adopt(whole: Whole, loop: asyncio.AbstractEventLoop, state: dict[str, Any], calls: dict[int, Call],
-          descriptors: list[int]) -> None:
+def adopt(whole: Whole, loop: asyncio.AbstractEventLoop, system: System, state: dict[str, Any],
+          calls: dict[int, Call], descriptors: list[int]) -> None:
     """Go on where another process has stopped: its decisions, its calls that are out, its clients.
 
     Args:
         whole: this process's parts, fresh.
         loop: where the connections go on.
+        system: gives them by their descriptors.
         state: what `Giving.offer` packed.
         calls: the calls that it names, by number.
         descriptors: the connections, in the order of the state.
     """
-    sockets = [socket.socket(fileno=fd) for fd in descriptors]
-    for sock in sockets:
-        sock.setblocking(False)
+    sockets = [system.connection(fd) for fd in descriptors]
     busy, handed, idle = state.get("busy", []), state["clients"], state.get("idle", [])
     by_call = {id(call): number for number, call in calls.items()}
 
