Count the time that passes while an upgrade settles, and hand over begun answers

Cause: followed two of the messages by a log of takes, sends and ends: both were taken at 13.0 and 13.1 s, while n0 was settling for 525 ms, and their end came 0.55 s after their time. An Arrived holds the time left when it is handled within a step; held over a hand-over it was that much older. Ruled out: messages unknown to the taker (all ends were there), a stalled loop (sends and answers went on), notices not answered (heard in 1 ms). It settled so long since an answer that had begun, or a link to an endpoint that leaves, had to come to its end.

Change: the time left of what has waited is counted anew from the query's deadline; answers that have begun and links that part are handed over as they stand, so that only what is not written is taken back.

The test for each fails without it.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -26,7 +26,16 @@
 from winchspan.courier import Courier, Verdict
 from winchspan.deadlines import Deadlines
 from winchspan.interface import Outcome
-from winchspan.net.server_link import Call, CallEnd, Fate, Peer, ServerLinks, SocketBudget
+from winchspan.net.http import AnswerParser
+from winchspan.net.server_link import (
+    Call,
+    CallEnd,
+    Fate,
+    HandedCall,
+    Peer,
+    ServerLinks,
+    SocketBudget,
+)
 from winchspan.sketch import CountMin, RecentKeys
 from winchspan.storms.governor import StormGovernor
 from winchspan.storms.settings import StormSettings
@@ -197,6 +206,18 @@
     assert world.courier.held == 0 and not list(world.journal.entries)
 
 
+def test_time_goes_on_for_what_is_taken_while_the_module_stands_still(tmp_path: Path):
+    """Its end came as late as the courier had been settling: 'lost', 0.55 s after its time."""
+    world = World(tmp_path, slots=1)
+    world.put("before", "once")               # holds the only slot
+    world.courier.suspend(True)
+    world.put("meanwhile", left=2_000.0)
+    world.run(900)
+    world.courier.suspend(False)
+    world.run(1_090)
+    assert list(world.out.notices) == ["meanwhile"], "2,000 ms after it was taken"
+
+
 def test_a_call_taken_over_cannot_be_taken_back_as_unwritten_and_ends_with_its_answer():
     """Before its connection was up here it counted as not written, and went out a second time."""
     async def play() -> list[CallEnd]:
@@ -205,19 +226,25 @@
         mine, theirs = socket.socketpair()
         mine.setblocking(False)
         peer = Peer(Address("127.0.0.1", 1), 11)
-        pool.adopt(mine, peer, 0.0, Call.adopted(), clock.now() + 9_000.0, ends.append)
+        half = AnswerParser()
+        head = bytearray(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab")
+        half.take(head, 0, len(head))         # the process before has read so much of the answer
+        state, _ = unpack(pack({"handed": HandedCall(peer, clock.now() + 9_000.0, None, half, b"",
+                                                     clock.now() + 400.0, False)}, []))
+        pool.adopt(mine, peer, None, Call.adopted(), state["handed"], ends.append)
         pool.recall(peer)
         pool.take_back()
         for _ in range(3):
             await asyncio.sleep(0)
         assert not ends
-        theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        theirs.sendall(b"cd")
         while not ends:
             await asyncio.sleep(0)
         theirs.close()
         return ends
 
-    assert [end.fate for end in asyncio.run(play())] == [Fate.ANSWERED]
+    (end,) = asyncio.run(play())
+    assert end.fate is Fate.ANSWERED and end.answer is not None and bytes(end.answer.body) == b"abcd"
 
 
 # ---- real processes --------------------------------------------------------------------------------------
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -418,8 +418,19 @@
         """Decide nothing and start nothing, or go on; what comes meanwhile is gathered."""
         self._suspended = still
         if not still:
+            self._events = self._aged(self._events)
             self._soon(self._turn)
 
+    def _aged(self, events: list[api.Event]) -> list[api.Event]:
+        """Events that have waited: a message's time has gone on since it was taken.
+
+        Guards against ends that come too late by as much as the module has stood still.
+        """
+        now = self._clock.now()
+        return [replace(event, left_ns=to_ns(max(0.0, query.deadline - now)))
+                if isinstance(event, api.Arrived) and (query := self._query(event.message)) is not None
+                else event for event in events]
+
     def settled(self) -> bool:
         """Whether all that is out is out at the carrier, and the journal holds all that has happened."""
         executions = [query.execution for query in self._queries if query.execution is not None]
@@ -448,7 +459,7 @@
             self._acquaint(sender, now)
         self._queries, self._by_id = handed["queries"], handed["by_id"]
         self._held, self._out = handed["held"], handed["out"]
-        self._events = handed["events"] + self._events
+        self._events = self._aged(handed["events"]) + self._events
         for execution in {id(query.execution): query.execution for query in self._queries}.values():
             if execution is not None and execution.call is not None:
                 rejoin(execution.call, lambda verdicts, e=execution: self._returned(e, verdicts))  # type: ignore[misc]
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -134,13 +134,7 @@
 
     def take_over(self, handed: Handed) -> None:
         """Go on where another process has stopped."""
-        space = self._buffer.space()
-        while len(space) < len(handed.unread):
-            self._buffer.end += len(space)
-            space = self._buffer.space()
-        self._buffer.start = 0
-        self._buffer.data[:len(handed.unread)] = handed.unread
-        self._buffer.end = len(handed.unread)
+        self._buffer.put(handed.unread)
         self._answered, self.faults, self._since = handed.answered, handed.faults, handed.since
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -15,7 +15,7 @@
 from winchspan.figures import Figures
 from winchspan.net import http
 from winchspan.net.host_group import HostGroup
-from winchspan.net.server_link import Call, CallEnd, Fate, Peer, ServerLinks
+from winchspan.net.server_link import Call, CallEnd, Fate, HandedCall, ServerLinks
 from winchspan.settings import FieldError, read_json
 
 _FATES = {Fate.NOT_WRITTEN: api.Outcome.CONNECT_FAILED, Fate.BROKEN: api.Outcome.RESET,
@@ -54,11 +54,12 @@
         call.about = parcels
         return call
 
-    def adopt(self, sock: socket.socket, peer: Peer, call: Call, until: float, parcels: list[Parcel],
+    def adopt(self, sock: socket.socket, call: Call, handed: HandedCall,
               done: Callable[[list[Verdict]], None]) -> None:
         """Go on with a call that another process has written; `done` gets a verdict for each parcel."""
+        parcels: list[Parcel] = handed.about
         call.about = parcels
-        self._links.adopt(sock, peer, 0.0, call, until,
+        self._links.adopt(sock, handed.peer, None, call, handed,
                           lambda end: done(read(end, parcels, self._reports)))
 
     def serves(self, dest: int) -> bool:
--- a/winchspan/net/http.py
+++ b/winchspan/net/http.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable, Iterable
+from typing import Any
 
 MAX_HEAD = 16 * 1024
 MAX_BODY = 64 * 1024           # of an answer that is kept; the protocol sends no more
@@ -35,6 +36,16 @@
         self._step: Callable[[bytearray, int, int], int | None] = self._head
         self._left = 0
 
+    def __getstate__(self) -> dict[str, Any]:
+        """As it stands in the middle of an answer, for another process; its body must be kept here."""
+        return {**self.__dict__, "_step": self._step.__name__}
+
+    def __setstate__(self, state: dict[str, Any]) -> None:
+        self.__dict__.update(state)
+        if state["_step"] not in ("_head", "_sized", "_until_end", "_chunk_size", "_chunk", "_trailer"):
+            raise HttpError(f"no step of an answer: {state['_step']!r:.40}")
+        self._step = getattr(self, state["_step"])
+
     def take(self, buffer: bytearray, start: int, end: int) -> int:
         """Use what lies in the buffer between two places and return where it stopped."""
         while not self.done:
--- a/winchspan/net/receive.py
+++ b/winchspan/net/receive.py
@@ -33,5 +33,11 @@
             self.start, self.end = 0, size
         return memoryview(self.data)[self.end:]
 
+    def put(self, data: bytes) -> None:
+        """Begin with what another process has read and not used."""
+        self.data = bytearray(max(_LEAST, 2 * len(data)))
+        self.data[:len(data)] = data
+        self.start, self.end = 0, len(data)
+
     def __len__(self) -> int:
         return self.end - self.start
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -87,7 +88,7 @@
         self.bounded = bounded        # once begun its answer must end soon; a watch's never does
         self.whole_by: Deadline | None = None
         self.out: Callable[[], None] | None = None     # called once its last byte is written
-        self.about: object = None         # what its carrier needs to read the answer
+        self.about: Any = None            # what its carrier needs to read the answer
 
     @classmethod
     def adopted(cls) -> Call:
@@ -118,6 +119,18 @@
             done(end)
 
 
+class HandedCall(NamedTuple):
+    """What is handed over of a call that is out, beside its connection. Times are readings of the clock."""
+
+    peer: Peer
+    until: float              # when it is given up
+    about: Any                # what its carrier needs
+    parser: AnswerParser      # as far as the answer has come
+    unread: bytes             # and what it could not use yet
+    whole_at: float | None    # when an answer that has begun is spoilt
+    parting: bool             # the connection is closed after it
+
+
 class ServerLink(asyncio.BufferedProtocol):
     """One connection: connecting, idle, busy with one call, or closed."""
 
@@ -240,12 +253,28 @@
     # ---- upgrade -----------------------------------------------------------------------------------------
     @property
     def still(self) -> bool:
-        """Whether it can be handed over: idle, or its call is written and no byte of the answer has come."""
-        if self._transport is None or self._transport.is_closing() or self.closed or self.parting:
+        """Whether it can be handed over: idle, or its call is written."""
+        if self._transport is None or self._transport.is_closing() or self.closed:
             return False
         call = self.call
-        return call is None or (self.written and call.ending is None and not call.parser.first_line
-                                and not len(self._buffer))
+        return not self.parting if call is None else self.written and call.ending is None
+
+    def handed(self) -> HandedCall:
+        """Its call, as the process that takes it over must know it."""
+        call, buffer = self.call, self._buffer
+        assert call is not None
+        unread = bytes(buffer.data[buffer.start:buffer.end])
+        whole_at = call.whole_by.at if call.whole_by is not None else None
+        return HandedCall(self.peer, call.timers[0].at, call.about, call.parser, unread, whole_at,
+                          self.parting)
+
+    def take_over(self, call: Call, handed: HandedCall) -> None:
+        """Go on with a call where another process has stopped, in the middle of its answer perhaps."""
+        self.call, call.link, call.parser = call, self, handed.parser
+        self._buffer.put(handed.unread)
+        self.parting = handed.parting
+        if handed.whole_at is not None:
+            call.whole_by = self._pool.expect_whole(call, handed.whole_at)
 
     def hold(self, still: bool) -> None:
         """Read nothing, or read on."""
@@ -362,13 +391,11 @@
         return call
 
     # ---- upgrade -----------------------------------------------------------------------------------------
-    def take_back(self, calls: bool = False) -> None:
-        """Take back what is not written; with `calls`, end also those that are out."""
+    def take_back(self) -> None:
+        """Take back what is not written."""
         for link in self._links:
             if link.call is not None and link.peer.number and not link.still:
                 link.call.recall()
-            elif link.call is not None and link.peer.number and calls:
-                link.call.cancel()
 
     def unsettled(self, calls: bool = False) -> list[ServerLink]:
         """The links with a call that can't be handed over; with `calls`, all that have one."""
@@ -385,37 +412,39 @@
         found = [link for link in self._links if link.peer.number and link.still]
         return [link for link in found if link.call], [link for link in found if not link.call]
 
-    def adopt(self, sock: socket.socket, peer: Peer, idle_for: float, call: Call | None = None,
-              until: float = 0.0, done: Callable[[CallEnd], None] = lambda end: None) -> None:
+    def adopt(self, sock: socket.socket, peer: Peer, idle_for: float | None, call: Call | None = None,
+              handed: HandedCall | None = None, done: Callable[[CallEnd], None] = lambda end: None) -> None:
         """Take over a connection that another process has opened, with the call that is out on it or idle.
 
         Args:
             sock: the connection.
             peer: who is at its other end.
-            idle_for: ms that it may still be idle.
+            idle_for: ms that it may still be idle; None: as any other.
             call: what is out on it, from `Call.adopted`.
-            until: reading of the clock at which that is given up.
+            handed: how that stands.
             done: gets its end.
         """
         link = ServerLink(self, peer)
         link.adopted, link.idle_for, link.handle = True, idle_for, self._links.add(link)
         link.written = True               # from the first moment: it must not be taken back as if it were not
         self._budget.open += 1
-        if call is not None:
-            call.done, call.link, link.call = done, link, call
-            call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
+        if call is not None and handed is not None:
+            call.done = done
+            call.timers.append(self._deadlines.add(handed.until, lambda: call.stop(Fate.TIMED_OUT)))
+            link.take_over(call, handed)
         link.adopt(self._loop, sock)
 
     def now(self) -> float:
         """The clock's reading."""
         return self._clock.now()
 
-    def expect_whole(self, call: Call) -> Deadline:
+    def expect_whole(self, call: Call, at: float | None = None) -> Deadline:
         """Give an answer that has begun some time to end.
 
         Guards against heads and bodies that never do, which would hold a slot for the patience of a call.
         """
-        timer = self._deadlines.after(WHOLE_WITHIN, lambda: call.stop(Fate.SPOILT))
+        at = self._clock.now() + WHOLE_WITHIN if at is None else at
+        timer = self._deadlines.add(at, lambda: call.stop(Fate.SPOILT))
         call.timers.append(timer)
         return timer
 
--- a/winchspan/upgrade/pack.py
+++ b/winchspan/upgrade/pack.py
@@ -16,7 +16,7 @@
 
 _OURS = {"winchspan.choice", "winchspan.interface", "winchspan.courier", "winchspan.slots",
          "winchspan.config", "winchspan.net.host_group", "winchspan.net.server_link",
-         "winchspan.net.client_link", "winchspan.sketch"}
+         "winchspan.net.client_link", "winchspan.net.http", "winchspan.sketch"}
 _PLAIN = {("collections", "deque"), ("collections", "OrderedDict"), ("array", "array"),
           ("array", "_array_reconstructor"), ("itertools", "count"), ("random", "Random"),
           ("builtins", "set"),
@@ -92,7 +92,7 @@
     """Names the deciding modules and the form of what is handed over: equal only if they are, to the byte."""
     found, root = hashlib.sha256(), Path(__file__).parent.parent
     for name in ("choice.py", "interface.py", "courier.py", "slots.py", "config.py", "upgrade/pack.py",
-                 "net/host_group.py", "net/server_link.py", "net/client_link.py", "sketch.py",
+                 "net/host_group.py", "net/server_link.py", "net/client_link.py", "net/http.py", "sketch.py",
                  *sorted(f"storms/{path.name}" for path in (root / "storms").glob("*.py"))):
         found.update((root / name).read_bytes())
     return found.hexdigest()[:32]
--- a/winchspan/upgrade/parts.py
+++ b/winchspan/upgrade/parts.py
@@ -96,8 +96,7 @@
             return self._offered(pack(state, []), [fd for fd, _ in clients])
         calls = [link.call for link in busy if link.call is not None]
         state |= {"courier": whole.courier.handed(), "group": whole.group.handed(),
-                  "busy": [(link.peer, link.call.timers[0].at, link.call.about)
-                           for link in busy if link.call is not None],
+                  "busy": [link.handed() for link in busy],
                   "idle": [(link.peer, link.retire.at - now if link.retire else 0.0) for link in idle]}
         return self._offered(pack(state, calls), [link.fileno() for link in busy] + [fd for fd, _ in clients]
                              + [link.fileno() for link in idle])
@@ -159,8 +158,7 @@
     def rejoin(call: Cancellable, done: Callable[[list[Verdict]], None]) -> None:
         number = by_call[id(call)]
         assert isinstance(call, Call)
-        peer, until, parcels = busy[number]
-        whole.hooks.adopt(sockets[number], peer, call, until, parcels, done)
+        whole.hooks.adopt(sockets[number], call, busy[number], done)
 
     if "courier" in state:
         whole.group.take_over(state["group"])
