--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -10,6 +10,7 @@
 import stat
 from collections.abc import Callable, Mapping
 from contextlib import suppress
+from functools import partial
 from http.server import ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -251,6 +252,14 @@
         assert run("export", str(tmp_path / "out"))[0] == 0
         client = ControlClient(control_file)
         assert client.ask("status")["held"] == 0
+        operate = partial(CliRunner().invoke, cli)
+        base = ["courier", "--socket", str(control_file)]
+        assert operate([*base, "ready"]).output == "ready\n"
+        assert "courier.deferred.gallery-notice:1|c" in operate([*base, "counters"]).output
+        assert operate([*base, "offline", "s-none"]).exit_code == 2
+        assert operate([*base, "out-of-service"]).exit_code == 0
+        assert operate([*base, "ready"]).output == "winchspan: out of service\n"
+        assert operate([*base, "in-service"]).output == "in service\n"
         with pytest.raises(ControlError, match="Object contains unknown field"):
             client.ask("undelivered.list", x=1)
         client.close()
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -180,7 +180,7 @@
             from winchspan.undelivered.setup import rules
 
             context = Context(rules(self._rules), self._classes)
-        offered = commands(self._courier, self._keeper, self._clock, context)
+        offered = commands(self._courier, self._keeper, self._clock, context, self.operations())
         server = ControlServer(path, offered, self._deadlines)
         try:
             await server.start()
--- a/winchspan/cli/__main__.py
+++ b/winchspan/cli/__main__.py
@@ -4,6 +4,7 @@
 
 import click
 
+from winchspan.cli.courier import courier
 from winchspan.cli.undelivered import undelivered
 
 
@@ -12,6 +13,7 @@
     """Commands of winchspan. Exit codes: 0 done, 1 nothing found, 2 wrong words or files."""
 
 
+main.add_command(courier)
 main.add_command(undelivered)
 
 if __name__ == "__main__":
--- a/winchspan/control/commands.py
+++ b/winchspan/control/commands.py
@@ -5,12 +5,16 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
+from winchspan.admin.operations import Operations
 from winchspan.clock import Clock
 from winchspan.control.server import Answer, Command, Peer
 from winchspan.undelivered import queries
 from winchspan.undelivered.desk import DeskError
 from winchspan.undelivered.store import Store, StoreError
 
+_ONLY_READ, _BY_HAND = ("ready", "counters"), ("offline", "online")
+OPERATIONS = (*_ONLY_READ, *_BY_HAND, "out-of-service", "in-service")    # as the operators' front has them
+
 
 class Worker(Protocol):
     """The keeper, as far as it lends its thread."""
@@ -27,16 +31,29 @@
 
 
 def commands(courier: Courier, keeper: Worker | None, clock: Clock,
-             context: queries.Context | None = None) -> dict[str, Command]:
+             context: queries.Context | None = None,
+             operations: Operations | None = None) -> dict[str, Command]:
     """All commands of a courier; those of what is switched off are not there."""
     def status(args: Mapping[str, Any], peer: Peer, answer: Answer) -> None:
         answer(courier.status(), "")
     found: dict[str, Command] = {"status": status}
+    if operations is not None:
+        found |= {name: _operation(name, operations) for name in OPERATIONS}
     for name in queries.NAMES if keeper is not None else ():
         found[f"undelivered.{name}"] = _query(name, keeper, clock, context)
     return found
 
 
+def _operation(name: str, operations: Operations) -> Command:
+    """A call of the operators' front."""
+    def command(args: Mapping[str, Any], peer: Peer, answer: Answer) -> None:
+        path = f"/control/endpoints/{args.get('id', '')}/{name}" if name in _BY_HAND else f"/control/{name}"
+        reply = operations.call("GET" if name in _ONLY_READ else "POST", path)
+        text = reply.text.rstrip("\n")
+        answer(*((text, "") if 200 <= reply.status < 300 else (None, text)))
+    return command
+
+
 def _query(name: str, keeper: Worker | None, clock: Clock, context: queries.Context | None) -> Command:
     """A command that runs on the store's thread."""
     def command(args: Mapping[str, Any], peer: Peer, answer: Answer) -> None:
