--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -21,6 +21,7 @@
 from winchspan.lab.play import play
 from winchspan.lab.store import LabError, Results
 from winchspan.operator.reader import OperatorError
+from winchspan.upgrade.parts import Giving
 
 REGRESSIONS = sorted((Path(__file__).parent / "regressions").glob("*.sexp"))
 SMALL = """
@@ -163,11 +164,13 @@
         assert play(point).breaches == []
 
 
-@pytest.mark.parametrize(("day", "part", "broken"), [
-    ("clock-set-back", "moor", lambda self, clock: None),
-    ("disk-full-for-a-moment", "_owe", lambda self, data: self._append(data))])
+@pytest.mark.parametrize(("day", "owner", "part", "broken"), [
+    ("clock-set-back", Journal, "moor", lambda self, clock: None),
+    ("disk-full-for-a-moment", Journal, "_owe", lambda self, data: self._append(data)),
+    ("notice-told-again", Giving, "settled",     # with a notice out
+     lambda self: not self._whole.links.unsettled() and not self._whole.clients.unsettled())])
 def test_those_days_still_go_wrong_without_what_mended_them(monkeypatch: pytest.MonkeyPatch, day: str,
-                                                            part: str, broken: object):
-    monkeypatch.setattr(Journal, part, broken)
+                                                            owner: type, part: str, broken: object):
+    monkeypatch.setattr(owner, part, broken)
     (path,) = (path for path in REGRESSIONS if path.stem == day)
     assert "end" in judge(load(path).points[0]).broken
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -118,7 +118,7 @@
         from winchspan.upgrade.parts import Whole
 
         return Whole(self._clock, self._deadlines, self._journal, self._group, self._courier, self._clients,
-                     self._links, self._hooks)
+                     self._links, self._hooks, self._notices)
 
     def _hand_over_when_asked(self) -> None:
         """Wait for a new process that takes over; a courier that can't goes on without."""
--- a/winchspan/net/notices.py
+++ b/winchspan/net/notices.py
@@ -46,6 +46,8 @@
         self._links, self._clock, self._deadlines, self._address = links, clock, deadlines, address
         self._owed: list[Notice] = []
         self._busy = False
+        self.out = False                  # a request is on its way
+        self._held = self._waits = False  # nothing is sent now; something is to be sent afterwards
 
     def __len__(self) -> int:
         return len(self._owed)
@@ -66,7 +68,18 @@
             self._busy = True
             self._deadlines.add(self._clock.now(), self._send)
 
+    def hold(self, still: bool) -> None:
+        """Send nothing new, or go on; what is out may still be answered."""
+        self._held = still
+        if not still and self._waits:
+            self._waits = False
+            self._deadlines.add(self._clock.now(), self._send)
+
     def _send(self) -> None:
+        if self._held:
+            self._waits = True
+            return
+        self.out = True
         batch = self._owed[:MOST]
         pieces = http.request("POST", "/v1/notices", str(self._address),
                               body=b"".join(notice.line() for notice in batch))
@@ -74,6 +87,7 @@
                          lambda end: self._ended(end, batch))
 
     def _ended(self, end: CallEnd, batch: list[Notice]) -> None:
+        self.out = False
         if end.fate is Fate.ANSWERED and end.answer is not None and 200 <= end.answer.status < 300:
             del self._owed[:len(batch)]
             self._busy = bool(self._owed)
--- a/winchspan/upgrade/parts.py
+++ b/winchspan/upgrade/parts.py
@@ -17,6 +17,7 @@
 from winchspan.net.client_link import ClientLinks, Handed
 from winchspan.net.hooks import Hooks
 from winchspan.net.host_group import HostGroup
+from winchspan.net.notices import Notices
 from winchspan.net.server_link import Call, ServerLinks
 from winchspan.system import System
 from winchspan.upgrade.link import Offer
@@ -35,6 +36,7 @@
     clients: ClientLinks
     links: ServerLinks
     hooks: Hooks
+    notices: Notices
 
 
 class Giving:
@@ -61,11 +63,12 @@
         self._whole.courier.suspend(True)
         self._whole.clients.accept_nobody(True)
         self._whole.links.take_back()
+        self._whole.notices.hold(True)
 
     def settled(self) -> bool:
         """Whether all that is left can be handed over."""
         whole = self._whole
-        return (whole.courier.settled() and not whole.clients.unsettled()
+        return (whole.courier.settled() and not whole.clients.unsettled() and not whole.notices.out
                 and not whole.links.unsettled(calls=not self._same))
 
     def cut(self) -> None:
@@ -128,6 +131,7 @@
         whole.clients.hold(False)
         whole.links.hold(False)
         whole.courier.suspend(False)
+        whole.notices.hold(False)
         whole.deadlines.hold(False)
 
     def stop(self) -> None:
