--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -71,6 +71,15 @@
         """Nothing."""
 
 
+class Server(ThreadingHTTPServer):
+    """One that says nothing of couriers that have ended."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """A connection that a process has left behind."""
+
+
 def submit(key: int) -> bytes:
     """A hand-in of an order."""
     names = f"c=order-payment,d=20000,k={secrets.token_hex(8)},dest=7"
@@ -165,8 +174,7 @@
 @click.option("--upgrades", type=click.IntRange(1, 100), default=20, show_default=True)
 def main(seconds: float, upgrades: int) -> None:
     """Print the figures."""
-    server = ThreadingHTTPServer((HOST, 0), Partner)
-    server.daemon_threads = True
+    server = Server((HOST, 0), Partner)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     listener = socket.create_server((HOST, 0))
     listener.set_inheritable(True)
