Test upgrades between versions, deaths with the state at hand, and an old one killed

Change: real processes of a version with another text of its deciding module take over under load and back; a taker dies with the state read, of the same version and of another; the old one is killed with its state on the way.

Measured: no request lost and each message ended once in all of them; no code had to change.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -87,7 +87,7 @@
 
 
 def start(tmp_path: Path, port: int, discovery: int, *words: str, socket_fd: int | None = None,
-          ready_by: bytes | None = None) -> subprocess.Popen[bytes]:
+          ready_by: bytes | None = None, root: Path = ROOT) -> subprocess.Popen[bytes]:
     data = json.loads((ROOT / "examples" / "config.json").read_text())
     data |= {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}"}
     data["state"] = str(tmp_path / "state")
@@ -99,7 +99,7 @@
     env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json")}
     if socket_fd is not None:
         env["ROUTER_SOCKET_FD"] = str(socket_fd)
-    process = subprocess.Popen([sys.executable, "-m", "winchspan", *words], cwd=ROOT, env=env,
+    process = subprocess.Popen([sys.executable, "-m", "winchspan", *words], cwd=root, env=env,
                                stderr=(tmp_path / "log").open("ab"),
                                pass_fds=[] if socket_fd is None else [socket_fd])
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import pickle
+import shutil
 import signal
 import socket
 import subprocess
@@ -40,7 +41,7 @@
 from winchspan.storms.governor import StormGovernor
 from winchspan.storms.settings import StormSettings
 from winchspan.upgrade.link import take
-from winchspan.upgrade.pack import HandOverError, pack, unpack
+from winchspan.upgrade.pack import HandOverError, fingerprint, pack, unpack
 from winchspan.upgrade.steps import SETTLE_WITHIN, TAKE_WITHIN, Do, Giver, State
 
 from .helpers import MS, SECOND, settings
@@ -282,9 +283,19 @@
             thread.join(PATIENCE)
 
 
-def test_upgrades_under_load_lose_no_request_and_end_each_message_once(tmp_path: Path,
-                                                                       partner: ThreadingHTTPServer):
+def another_version(folder: Path) -> Path:
+    """The program with another text of its deciding module."""
+    shutil.copytree(ROOT / "winchspan", folder / "winchspan", ignore=shutil.ignore_patterns("__pycache__"))
+    with (folder / "winchspan" / "choice.py").open("a") as file:
+        file.write("# another version\n")
+    return folder
+
+
+@pytest.mark.parametrize("differ", [False, True], ids=["the same", "another version each time"])
+def test_upgrades_under_load_lose_no_request_and_end_each_message_once(
+        tmp_path: Path, partner: ThreadingHTTPServer, differ: bool):
     Partner.open.set()
+    other = another_version(tmp_path / "other") if differ else ROOT
     sock = listening()
     port, running = int(sock.getsockname()[1]), []
     running.append(start(tmp_path, port, partner.server_port, socket_fd=sock.fileno()))
@@ -295,9 +306,10 @@
             wait_for("load", lambda had=had: len(clients.answers) > had + 40)
             (tmp_path / "log").write_bytes(b"")
             running.append(start(tmp_path, port, partner.server_port, socket_fd=sock.fileno(),
-                                 ready_by=b" listens on "))
+                                 ready_by=b" listens on ", root=ROOT if number % 2 else other))
             assert running[number].wait(PATIENCE) == 0, "the old process leaves by itself"
-            assert b"took over" in (tmp_path / "log").read_bytes()
+            assert (b"recovered" if differ else b"took over") in (tmp_path / "log").read_bytes()
+            assert (b"decides differently" in (tmp_path / "log").read_bytes()) == differ
         had = len(clients.answers)
         wait_for("load", lambda: len(clients.answers) > had + 40)
         clients.stop()
@@ -323,16 +335,22 @@
     courier = start(tmp_path, port, partner.server_port, socket_fd=sock.fileno())
     state = tmp_path / "state"
 
-    def die(data: bytes) -> None:
-        raise HandOverError("the test's")
     try:
         for words in (b"", b"TAKE", b"TAKE 1 other\n", b"TAKE 9 x\n", b"nonsense\n"):
             with socket.socket(socket.AF_UNIX) as link:
                 link.connect(str(state / "upgrade.sock"))
                 link.sendall(words)
             assert ask(port, request("order-payment", "7", "x")) == b"+OK\r\n"
-        wait_for("the link is free again", lambda: take(state, "same", die) is None)
-        assert ask(port, request("order-payment", "7", "x")) == b"+OK\r\n"
+        for mine in ("another", fingerprint()):       # dies with the state at hand
+            for _ in range(3):
+                read: list[bytes] = []
+
+                def die(data: bytes, read: list[bytes] = read) -> None:
+                    read.append(data)
+                    raise HandOverError("the test's")
+                wait_for("the state is read", lambda mine=mine, die=die, read=read:
+                         take(state, mine, die) is None and read)
+                assert ask(port, request("order-payment", "7", "x")) == b"+OK\r\n"
         assert courier.poll() is None
         courier.send_signal(signal.SIGTERM)
         assert courier.wait(PATIENCE) == 0
@@ -365,6 +383,32 @@
         sock.close()
 
 
+def test_an_old_process_killed_with_its_state_on_the_way_leaves_the_journal(tmp_path: Path,
+                                                                            partner: ThreadingHTTPServer):
+    sock = listening()
+    port, state = int(sock.getsockname()[1]), tmp_path / "state"
+    courier = start(tmp_path, port, partner.server_port, socket_fd=sock.fileno())
+    after = None
+    try:
+        assert ask(port, request("order-payment", "7", "x", f"{1:016x}", 1_200_000)) == b"+OK\r\n"
+        wait_for("a call is out", lambda: Partner.begun)
+
+        def kill(data: bytes) -> None:
+            courier.kill()
+            courier.wait()
+        assert take(state, fingerprint(), kill) is None, "it has not said that it is ours"
+        Partner.open.set()
+        after = start(tmp_path, port, partner.server_port, socket_fd=sock.fileno())
+        wait_for("delivered by the next", lambda: len(Partner.answered) == 2)
+        assert len(set(Partner.answered)) == 1
+    finally:
+        for process in (courier, after):
+            if process is not None:
+                process.kill()
+                process.wait()
+        sock.close()
+
+
 def test_a_descriptor_that_does_not_listen_ends_the_start_with_one_line(tmp_path: Path):
     with pytest.raises(ConfigError, match="ROUTER_SOCKET_FD"):
         load({"ROUTER_SOCKET_FD": "x", "ROUTER_LISTEN": "127.0.0.1:0", "ROUTER_DISCOVERY": "127.0.0.1:1",
