Let a courier go on whatever fails while it hands over, and keep what operators said

Found by reading the change again. (1) A fault that is no hand-over error, raised while the state is made, ended the task with the courier standing still for good: deadlines, clients and calls held. Any fault resumes it now.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from pathlib import Path
 from typing import Any
 
@@ -183,6 +184,25 @@
     assert not got[-1].rows[0].cold
 
 
+def test_what_operators_say_while_an_upgrade_is_on_its_way_holds_in_the_next_process(tmp_path: Path):
+    got: list[api.EndpointList] = []
+    journal = Journal(tmp_path, 100_000)
+    group = HostGroup(got.append, on_hand=journal.by_hand)
+    group.take(listing(1))
+    group.take({"seq": 2, "whole": False, "hosts": [{"host": "s-2", "dial": "127.0.0.1:2", "block": 3}]})
+    group.offline("s-1")
+    handed = copy.deepcopy({name: part for name, part in group.handed().items() if name != "next"})
+    group.online("s-1")
+    group.offline("s-2")
+    journal.close()
+    again = HostGroup(got.append)
+    again.by_hand.update(Journal(tmp_path, 100_000).offline)
+    again.take_over(handed | {"next": group.handed()["next"]})
+    rows = {row.endpoint: row for row in got[-1].rows}
+    assert rows[1].listing is Listing.IN_SERVICE and rows[1].cold
+    assert rows[2].listing is Listing.DRAINING
+
+
 def test_names_offline_outlast_a_file_written_anew_and_have_a_bound(tmp_path: Path):
     journal = Journal(tmp_path, 400_000)
     group = HostGroup(lambda news: None, on_hand=journal.by_hand)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import threading
+from collections.abc import Callable
 from http.server import ThreadingHTTPServer
 from pathlib import Path
 
@@ -40,7 +41,7 @@
 from winchspan.sketch import CountMin, RecentKeys
 from winchspan.storms.governor import StormGovernor
 from winchspan.storms.settings import StormSettings
-from winchspan.upgrade.link import take
+from winchspan.upgrade.link import GiverLink, take
 from winchspan.upgrade.pack import HandOverError, fingerprint, pack, unpack
 from winchspan.upgrade.steps import SETTLE_WITHIN, TAKE_WITHIN, Do, Giver, State
 
@@ -219,6 +220,33 @@
     assert list(world.out.notices) == ["meanwhile"], "2,000 ms after it was taken"
 
 
+def test_a_fault_while_the_state_is_made_lets_the_courier_go_on(tmp_path: Path):
+    """It would have stood still for good, with every deadline and every connection held."""
+    class Faulty:
+        done: list[str] = []
+
+        def __getattr__(self, name: str) -> Callable[..., object]:
+            def part(*args: object) -> object:
+                self.done.append(name)
+                if name == "offer":
+                    raise ZeroDivisionError
+                return True
+            return part
+
+    async def play() -> list[str]:
+        parts = Faulty()
+        giver = GiverLink(tmp_path, "f", parts, lambda: 0.0)  # type: ignore[arg-type]
+        giver.listen(asyncio.get_running_loop())
+        assert await asyncio.to_thread(take, tmp_path, "f", lambda data: None) is None
+        async with asyncio.timeout(PATIENCE):
+            while "resume" not in parts.done:
+                await asyncio.sleep(0.001)
+        giver.close()
+        return parts.done
+
+    assert asyncio.run(play())[-1] == "resume"
+
+
 def test_a_call_taken_over_cannot_be_taken_back_as_unwritten_and_ends_with_its_answer():
     """Before its connection was up here it counted as not written, and went out a second time."""
     async def play() -> list[CallEnd]:
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -154,10 +154,14 @@
                 "next": self._next, "by_hand": self.by_hand, "cold": self._cold, "ever": self._ever}
 
     def take_over(self, handed: dict[str, Any]) -> None:
-        """Go on where another process has stopped."""
+        """Go on where another process has stopped.
+
+        What is offline by hand is the journal's word: it holds also what operators said while the state was on
+        its way.
+        """
         self.seq, self.hosts, self.dests = handed["seq"], handed["hosts"], handed["dests"]
-        self._numbers, self._next, self.by_hand = handed["numbers"], handed["next"], handed["by_hand"]
-        self._cold, self._ever = handed["cold"], handed["ever"]
+        self._numbers, self._next, self._ever = handed["numbers"], handed["next"], handed["ever"]
+        self._cold = handed["cold"] | (handed["by_hand"] - self.by_hand)
         self._tell(api.Scope.CHANGES, list(self.hosts.values()))
 
     def listed(self) -> list[int]:
--- a/winchspan/upgrade/link.py
+++ b/winchspan/upgrade/link.py
@@ -141,6 +141,9 @@
         except (OSError, TimeoutError, HandOverError) as err:
             logger.warning("upgrade: not handed over to {}: {!r}", peer, err)
             self._do(self.giver.lost())
+        except Exception:     # guards against a fault of ours that would leave the courier standing still
+            logger.exception("upgrade: not handed over to {}", peer)
+            self._do(self.giver.lost())
         finally:
             taker.close()
             self._task = None
