--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -156,8 +156,8 @@
     def take_over(self, handed: dict[str, Any]) -> None:
         """Go on where another process has stopped.
 
-        What is offline by hand is the journal's word: it holds also what operators said while the state was on
-        its way.
+        What is offline by hand is the journal's word: it holds also what operators said while the state was
+        on its way.
         """
         self.seq, self.hosts, self.dests = handed["seq"], handed["hosts"], handed["dests"]
         self._numbers, self._next, self._ever = handed["numbers"], handed["next"], handed["ever"]
