Bound the age of what is read by the loop's last look at its sockets

Cause: a message's time runs from when its client wrote it; the courier counted it from when it read it.

What a look finds came after the look before it; a look that had to wait found what has only just come; one during which the clock stood tells nothing. A message's time is less by the age so bounded; one whose time may be over is refused. A request read later than clients wait, on a closed connection, is not taken. Deadlines fire, and the module judges, by the time of the last look: a call whose answer lies unread is not overdue.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,7 +10,8 @@
 # From the bottom: what a module may import lies on its own floor or below. A package's name stands for all
 # its modules that have no line of their own.
 FLOORS = {
-    "winchspan.clock": 0, "winchspan.deadlines": 0, "winchspan.slots": 0, "winchspan.config": 0,
+    "winchspan.began": 0, "winchspan.clock": 0, "winchspan.lookout": 0, "winchspan.deadlines": 0,
+    "winchspan.slots": 0, "winchspan.config": 0,
     "winchspan.settings": 0, "winchspan.logs": 0, "winchspan.operator": 0, "winchspan.sketch": 0,
     "winchspan.interface": 0, "winchspan.system": 0, "winchspan.figures": 0,
     "winchspan.choice": 1, "winchspan.retune": 1, "winchspan.storms": 1, "winchspan": 1,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -65,6 +65,9 @@
     def resume_reading(self) -> None:
         self.reading = True
 
+    def is_reading(self) -> bool:
+        return self.reading
+
 
 class Loop:
     """Keeps the links that want to connect; the test decides what becomes of them."""
@@ -259,13 +262,15 @@
 
     def __init__(self) -> None:
         self.taken: list[tuple[Any, ...]] = []
+        self.ages: list[float] = []
         self.withdrawn: list[int] = []
         self.busy = False
 
     def take(self, *message: Any) -> int:
         if self.busy:
             raise Busy(2_000.0)
-        self.taken.append(message)
+        self.ages.append(message[-1])
+        self.taken.append(message[:-1])
         return len(self.taken) - 1
 
     def withdraw(self, handle: int) -> None:
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -15,6 +15,7 @@
 
 from winchspan import interface as api
 from winchspan import logs
+from winchspan.began import BEGAN
 from winchspan.clock import to_ms, to_ns
 from winchspan.config import Address, Config, ConfigError, load, reload
 from winchspan.courier import Courier
@@ -77,7 +78,8 @@
         words = bool(storms.get("on") and storms.get("words"))
         settings = replace(config.settings, ends_are_heard=True, can_recall=True)
         self._clock = self._system.clock
-        self._deadlines = Deadlines(self._clock, loop)
+        lookout = self._system.lookout
+        self._deadlines = Deadlines(self._clock, loop, lookout)
         self._journal = Journal(config.state, config.disk_bytes, self._system.disk)
         own = OWN_FILES + (ADMIN_FILES if config.admin else 0)
         budget = self._budget = SocketBudget(config.sockets - own)
@@ -95,10 +97,11 @@
         governor = self._storms(storms, settings) if storms.get("on") else None
         self._courier = Courier(settings, config.seed, self._clock, self._deadlines, self._journal, hooks,
                                 Announcements(self._notices, words), loop.call_soon, governor,
-                                self._keep(operator.get("undelivered", {}), settings), self._figures)
+                                self._keep(operator.get("undelivered", {}), settings), self._figures,
+                                lookout)
         self._watch = Watch(self._group, links, self._deadlines, config.discovery)
         self._clients = ClientLinks(self._courier, self._clock, self._deadlines, budget, self._most(settings),
-                                    links.retire_oldest, words)
+                                    links.retire_oldest, words, lookout)
         self._done = asyncio.Event()
 
     def _most(self, settings: api.Settings) -> int:
@@ -242,7 +245,7 @@
             from winchspan.upgrade.parts import adopt
 
             adopt(self.parts(), self._loop, self._system, state, self._inherited.calls,
-                  self._inherited.descriptors)
+                  self._inherited.descriptors, self._inherited.asked)
             if self._report is not None:
                 self._report.follow(self._courier.governor)  # type: ignore[arg-type]
         else:
@@ -351,7 +354,7 @@
         print(f"winchspan: {err}", file=sys.stderr)
         return 2
     logs.start(config.log_level)
-    system, inherited, listener = System(), None, None
+    system, inherited, listener = System(began=BEGAN), None, None
     if config.socket_fd is not None:
         from winchspan.upgrade.start import begin
 
@@ -361,7 +364,7 @@
             print(f"winchspan: ROUTER_SOCKET_FD: {config.socket_fd} is no listening socket: {err.strerror}",
                   file=sys.stderr)
             return 2
-        inherited = begin(config.state, lambda: system.lock(config.state))
+        inherited = begin(config.state, lambda: system.lock(config.state), system.clock.now)
     elif not system.lock(config.state):
         logger.warning("{} is held by another process", config.state)
 
@@ -369,7 +372,8 @@
         await Daemon(config, asyncio.get_running_loop(), operator, system, inherited, listener).run()
 
     try:
-        asyncio.run(serve())
+        with asyncio.Runner(loop_factory=system.loop) as runner:
+            runner.run(serve())
     except OSError as err:
         print(f"winchspan: {err}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/winchspan/began.py
@@ -0,0 +1,5 @@
+"""When this process began, as near as its own code can tell: this module is imported before all others."""
+
+from time import monotonic
+
+BEGAN = monotonic() * 1_000.0     # ms, a reading of the real clock
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -19,6 +19,7 @@
 from winchspan.deadlines import Deadline, Deadlines
 from winchspan.figures import Figures
 from winchspan.journal import Entry, Journal, JournalFull
+from winchspan.lookout import Lookout
 from winchspan.retune import LAG, between, bound
 from winchspan.settings import FieldError, class_of, class_row
 from winchspan.slots import SlotTable
@@ -166,8 +167,9 @@
                  journal: Journal, carrier: Carrier, announcer: Announcer,
                  soon: Callable[[Callable[[], None]], object],
                  governor: api.Governor | None = None, keeper: Keeper | None = None,
-                 figures: Figures | None = None) -> None:
+                 figures: Figures | None = None, lookout: Lookout | None = None) -> None:
         self._settings = settings = bound(settings)
+        self._lookout, self._decided = lookout or Lookout(), 0.0
         self._clock, self._deadlines, self._journal = clock, deadlines, journal
         self._carrier, self._announcer, self._soon = carrier, announcer, soon
         self._governor, self._keeper = governor or api.Governor(), keeper
@@ -175,7 +177,6 @@
         self._lag: Deadline | None = None         # until clients name the new classes
         self._sender = Sender(replace(settings, classes=self._known), seed, self._governor)
         self.figures = figures or Figures()
-        self.figures = figures or Figures()
         self._queries: SlotTable[Query] = SlotTable()
         self._by_id: dict[str, int] = {}
         self._held = 0                    # queries whose end the module still owes
@@ -221,14 +222,15 @@
         return found is None or not found.usable or found.open
 
     def take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
-             body: bytes, repeat: bool = False, again: bool = False) -> int:
+             body: bytes, repeat: bool = False, again: bool = False, age: float = 0.0) -> int:
         """Take a message on and return its query's handle; raises Busy or BadRequest.
 
         A message that is taken on already has its handle elsewhere: whoever asks again cannot withdraw it.
-        `repeat` and `again` are the client's marks: refused before, or held by a courier that died.
+        `repeat` and `again` are the client's marks: refused before, or held by a courier that died. `left`
+        is its time when it was written, and `age` the most ms that may have gone by since.
         """
         try:
-            return self._take(message, cls, key, dest, left, token, body, repeat, again)
+            return self._take(message, cls, key, dest, left, token, body, repeat, again, age)
         except Busy:
             self.figures.ended("deferred", cls)
             raise
@@ -238,7 +240,7 @@
             raise
 
     def _take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
-              body: bytes, repeat: bool, again: bool) -> int:
+              body: bytes, repeat: bool, again: bool, age: float) -> int:
         known = self._settings.classes.get(cls)
         if known is None:
             raise BadRequest(f"unknown class {cls!r:.60}")
@@ -250,7 +252,9 @@
             raise BadRequest("this class needs an idempotency key")   # without one a repeat would run twice
         if message in self._by_id:
             return NO_QUERY               # the same request once more: it is taken on already
-        now = self._clock.now()
+        now, left = self._clock.now(), left - age
+        if left <= 0.0:
+            raise Busy(0.0, "its time may be over")     # it has lain unread; nobody is told late
         asked = api.Asked(message, known, dest, to_ns(left), key if known.ordered else None, token, repeat,
                           again, self._held)
         if self._held >= self._settings.max_held:
@@ -450,7 +454,7 @@
         self._journal.moor(self._clock)
         sender: Sender = handed["sender"]
         now = to_ns(self._clock.now())
-        self._sender = sender
+        self._sender, self._decided = sender, to_ms(sender.now)
         if self._governor.goes_on(sender.gov):
             self._governor = sender.gov
             self._governor.retune(self._settings)
@@ -505,7 +509,7 @@
         if self._frozen or self._suspended or not self._events:
             return
         events, self._events = self._events, []
-        now = self._clock.now() if at is None else at
+        now = self._decided = self._seen_by() if at is None else at
         try:
             actions = self._sender.handle(to_ns(now), events)
         except Exception:   # guards against a fault in one decision that would end the courier
@@ -535,7 +539,16 @@
                 case api.Subscribe() | api.TellPeers():
                     logger.debug("not on this platform: {}", action)
         for endpoint, members in sends.items():
-            self._execute(endpoint, members, now)
+            self._execute(endpoint, members, self._clock.now())
+
+    def _seen_by(self) -> float:
+        """The time that decisions go by: when the sockets were last looked at.
+
+        Guards against a turn that was held up after the look: what came meanwhile is not read yet, and a call
+        that has its answer would be taken for overdue. No wait, rest or window ends early by it: what they
+        count from was decided at such a time too, or had come by then.
+        """
+        return max(self._decided, min(self._clock.now(), self._lookout.at))
 
     def _set_timer(self, at: float, token: int) -> None:
         """Tell the module when it is time; a later timer of the same token replaces the earlier one."""
--- a/winchspan/deadlines.py
+++ b/winchspan/deadlines.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from winchspan.clock import Clock
+from winchspan.lookout import Lookout
 
 
 class Deadline:
@@ -29,8 +30,9 @@
 class Deadlines:
     """A heap of deadlines; cancelled ones are dropped when they come up or outnumber the rest."""
 
-    def __init__(self, clock: Clock, loop: asyncio.AbstractEventLoop | None = None) -> None:
-        self._clock = clock
+    def __init__(self, clock: Clock, loop: asyncio.AbstractEventLoop | None = None,
+                 lookout: Lookout | None = None) -> None:
+        self._clock, self._lookout = clock, lookout or Lookout()
         self._loop = loop
         self._heap: list[tuple[float, int, Deadline]] = []
         self._numbers = count()
@@ -67,10 +69,15 @@
             self.run_due()
 
     def run_due(self) -> None:
-        """Fire all that is due; an action that raises is logged and does not stop the others."""
+        """Fire all that was due when the sockets were last looked at.
+
+        What came due since waits for the next look. Guards against a turn that was held up: the answer to a
+        call may have come meanwhile, and the call would be taken for overdue. An action that raises is logged
+        and does not stop the others.
+        """
         if self._held:
             return
-        now = self._clock.now()
+        now = min(self._clock.now(), self._lookout.at)
         while self._heap and (self._heap[0][0] <= now or self._heap[0][2].action is None):
             action = heappop(self._heap)[2].action
             if action is not None:
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import select
 import socket
 from collections.abc import Callable
 from math import ceil
@@ -14,6 +15,7 @@
 from winchspan.clock import Clock
 from winchspan.courier import BadRequest, Busy
 from winchspan.deadlines import Deadlines
+from winchspan.lookout import Lookout
 from winchspan.net import resp
 from winchspan.net.receive import ReceiveBuffer
 from winchspan.net.server_link import SocketBudget
@@ -32,6 +34,7 @@
 WHOLE_WITHIN = 1_000.0    # from a request's first byte to its last; its client waits 400 ms for the answer
 READ_WITHIN = 3_000.0     # for a client to take its answers
 IDLE_PART = 8             # of the links that may be open, one part in so many may be idle
+PATIENCE = 400.0          # a client waits so long for an answer, and then closes its connection
 MUTE = 300.0              # a client that has said nothing for so long makes room for others
 
 
@@ -39,15 +42,15 @@
     """What takes messages on."""
 
     def take(self, message: str, cls: str, key: int | None, dest: int, left: float, token: str,
-             body: bytes, repeat: bool = False, again: bool = False) -> int:
+             body: bytes, repeat: bool = False, again: bool = False, age: float = 0.0) -> int:
         """Take a message on and return its query's handle; raises Busy or BadRequest."""
 
     def withdraw(self, handle: int) -> None:
         """The client has gone without its answer."""
 
 
-def submit(words: list[bytes], intake: Intake) -> int:
-    """Read `SUBMIT KEY ID NAMES BODY` and hand the message in."""
+def submit(words: list[bytes], intake: Intake, age: float = 0.0) -> int:
+    """Read `SUBMIT KEY ID NAMES BODY`, written `age` ms ago at most, and hand the message in."""
     if len(words) != 5:
         raise BadRequest("SUBMIT takes a key, an id, a list of names and a body")
     _, key, message, names, body = words
@@ -73,7 +76,7 @@
     if any(values.get(mark, "1") != "1" for mark in ("r", "again")):
         raise BadRequest("a mark is not 1")
     return intake.take(message.decode(), values.get("c", ""), int(key, 16) or None, int(dest), float(left),
-                       token, body, "r" in values, "again" in values)
+                       token, body, "r" in values, "again" in values, age)
 
 
 class Handed(NamedTuple):
@@ -98,6 +101,8 @@
         self._stuck = False               # answers wait for the client to read them
         self._later = False               # whole requests wait for their turn, or for a penance to end
         self._since = links.now()         # when it came, was last answered, or its open request began
+        self._came = 0.0                  # after when what was last read had come
+        self._unread, self._look = 0.0, 0     # until when it was not read, and at which look it was again
         self.faults = 0                   # bad requests
         self.handle = 0
         self.used = 0                     # when it was last used, in requests of all clients
@@ -106,6 +111,7 @@
         """A client has connected."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._look = self._links.lookout.looks
         transport.set_write_buffer_limits(high=0)
         if len(self._buffer):             # what another process had read of it
             self._later = True
@@ -137,6 +143,11 @@
         self._buffer.put(handed.unread)
         self._answered, self.faults, self._since = handed.answered, handed.faults, handed.since
 
+    def unread_since(self, at: float) -> None:
+        """Say since when nobody has read what comes on it."""
+        self._came = self._unread = at
+        self._look = self._links.lookout.looks
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; what it has not been told is withdrawn."""
         self._links.gone(self)
@@ -163,7 +174,10 @@
         """Answer what has come whole."""
         if not len(self._buffer):
             self._since = self._links.now()
+        self._came = self._links.lookout.came(self._unread, self._look)
         self._buffer.end += nbytes
+        if self._buffer.end == len(self._buffer.data):
+            self.unread_since(self._came)      # there may be more that has come as long ago
         if not self._later and not self._stuck:
             self._serve()
 
@@ -172,8 +186,12 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._stuck or self._later:
+            if self._transport.is_reading():
+                self._unread = self._links.lookout.since
             self._transport.pause_reading()
         else:
+            if not self._transport.is_reading():
+                self._look = self._links.lookout.looks
             self._transport.resume_reading()
 
     def _turn(self) -> None:
@@ -188,13 +206,17 @@
         buffer, transport = self._buffer, self._transport
         if transport is None or transport.is_closing():
             return
+        age = max(0.0, self._links.now() - self._came)
+        if age >= PATIENCE and self._left():
+            transport.abort()
+            return
         answers: list[bytes] = []
         taken: list[int] = []
         faults, broken, requests = self.faults, False, 0
         try:
             while requests < AT_ONCE and (found := self._parser.next(buffer.data, buffer.start, buffer.end)):
                 words, buffer.start = found
-                answers.extend(self._answer(words, taken))
+                answers.extend(self._answer(words, taken, age))
                 requests += 1
         except resp.RespError as err:
             logger.debug("client link: {}", err)
@@ -213,12 +235,25 @@
             self._read_on()
             self._links.later(PENANCE if self.faults > faults else 0.0, self._turn)
 
-    def _answer(self, words: list[bytes], taken: list[int]) -> tuple[bytes, ...]:
-        """Carry out one request."""
+    def _left(self) -> bool:
+        """Whether its client has closed the connection.
+
+        Guards against requests that were read late, of clients that have waited in vain: they are handed in
+        elsewhere by now, and what would be delivered here counts for nothing.
+        """
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def _answer(self, words: list[bytes], taken: list[int], age: float) -> tuple[bytes, ...]:
+        """Carry out one request, written `age` ms ago at most."""
         command = words[0].upper()
         try:
             if command == b"SUBMIT":
-                taken.append(submit(words, self._links.intake))
+                taken.append(submit(words, self._links.intake, age))
                 return (resp.simple("OK"),)
             if command == b"PING" and self._links.drained:
                 return (resp.error("BUSY out of service"),)
@@ -285,8 +320,9 @@
     """All client links, and the socket that accepts them."""
 
     def __init__(self, intake: Intake, clock: Clock, deadlines: Deadlines, budget: SocketBudget, most: int,
-                 make_room: Callable[[], bool], words: bool = False) -> None:
-        self.intake = intake
+                 make_room: Callable[[], bool], words: bool = False, lookout: Lookout | None = None) -> None:
+        self.intake, self.lookout = intake, lookout or Lookout()
+        self._waiting: float | None = self.lookout.since     # since when some may wait to be accepted
         self._words = words               # whether refusals are told in words, too
         self.closing = self._stopping = False
         self.drained = False              # operators have taken this courier out of service
@@ -343,7 +379,7 @@
 
     def _pause(self) -> None:
         if self._loop is not None and self._socket is not None and self._accepting:
-            self._accepting = False
+            self._accepting, self._waiting = False, self._came()
             self._loop.remove_reader(self._socket)  # type: ignore[arg-type]
 
     def _accept(self) -> None:
@@ -354,13 +390,17 @@
         client whose connection ends without an answer has lost its message.
         """
         assert self._socket is not None and self._loop is not None
+        self._waiting = came = self._came()
         for _ in range(AT_ONCE):
             if not self._room():
                 self._pause()              # until a link is gone or has become unused
                 return
             try:
                 client, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self._waiting = None       # all are in
+                return
+            except (InterruptedError, ConnectionAbortedError):
                 return
             except OSError as err:
                 logger.error("client links: cannot accept: {}", err)
@@ -369,11 +409,17 @@
                 return
             client.setblocking(False)
             link = ClientLink(self)
+            link.unread_since(came)
             self.opened(link)
             task = self._loop.create_task(self._adopt(self._loop, link, client))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _came(self) -> float:
+        """After when those that wait to be accepted have come."""
+        since = self.lookout.since
+        return since if self._waiting is None else min(since, self._waiting)
+
     async def _adopt(self, loop: asyncio.AbstractEventLoop, link: ClientLink, client: socket.socket) -> None:
         try:
             await loop.connect_accepted_socket(lambda: link, client)
@@ -449,10 +495,12 @@
         """All links, those first that have part of a request."""
         return [link.handed() for link in sorted(self._links, key=lambda link: not link.begun) if link.still]
 
-    def take_over(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, handed: Handed) -> None:
-        """Go on with a client whose connection another process has accepted."""
+    def take_over(self, loop: asyncio.AbstractEventLoop, sock: socket.socket, handed: Handed,
+                  still: float) -> None:
+        """Go on with a client whose connection another process has accepted, and read until `still`."""
         link = ClientLink(self)
         link.take_over(handed)
+        link.unread_since(still)
         self.opened(link)
         task = loop.create_task(self._adopt(loop, link, sock))
         self._tasks.add(task)
--- a/winchspan/upgrade/parts.py
+++ b/winchspan/upgrade/parts.py
@@ -144,7 +144,7 @@
 
 
 def adopt(whole: Whole, loop: asyncio.AbstractEventLoop, system: System, state: dict[str, Any],
-          calls: dict[int, Call], descriptors: list[int]) -> None:
+          calls: dict[int, Call], descriptors: list[int], asked: float = float("inf")) -> None:
     """Go on where another process has stopped: its decisions, its calls that are out, its clients.
 
     Args:
@@ -154,6 +154,7 @@
         state: what `Giving.offer` packed.
         calls: the calls that it names, by number.
         descriptors: the connections, in the order of the state.
+        asked: when the other process was asked, which then ceased to read from its clients.
     """
     sockets = [system.connection(fd) for fd in descriptors]
     busy, handed, idle = state.get("busy", []), state["clients"], state.get("idle", [])
@@ -170,7 +171,7 @@
     else:
         whole.courier.recover()
     for sock, of in zip(sockets[len(busy):], handed, strict=False):
-        whole.clients.take_over(loop, sock, Handed(*of))
+        whole.clients.take_over(loop, sock, Handed(*of), asked)
     for sock, (peer, idle_for) in zip(sockets[len(busy) + len(handed):], idle, strict=True):
         whole.links.adopt(sock, peer, idle_for)
     if state["drained"]:
--- a/winchspan/upgrade/start.py
+++ b/winchspan/upgrade/start.py
@@ -23,18 +23,20 @@
     state: dict[str, Any] = field(default_factory=dict)      # empty: nothing
     calls: dict[int, Call] = field(default_factory=dict)
     descriptors: list[int] = field(default_factory=list)
+    asked: float = float("inf")       # clock's reading before which the other still read from its clients
 
 
-def begin(folder: Path, lock: Callable[[], bool]) -> Inherited:
+def begin(folder: Path, lock: Callable[[], bool], now: Callable[[], float]) -> Inherited:
     """Wait until the folder is ours, by its holder's word or its end.
 
     Args:
         folder: the one that lasts.
         lock: locks it; False while another process holds it.
+        now: the clock's reading, ms.
     """
     mine, tries = fingerprint(), 0
     while not lock():
-        found = Inherited()
+        found = Inherited(asked=now())
 
         def check(data: bytes, found: Inherited = found) -> None:
             found.state, found.calls = unpack(data)
