--- /dev/null
+++ b/benchmarks/journal.py
@@ -0,0 +1,113 @@
+"""What the journal costs on a disk: `python benchmarks/journal.py --folder DIR`, 75 s by default.
+
+One courier as a process, its state in a folder of a disk, 200 messages a second and no fault anywhere: how
+long clients wait for `+OK`, and how many messages are sent to the partner more than once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import click
+
+from winchspan.clock import Clock
+from winchspan.deadlines import Deadlines
+from winchspan.standins.clients import Clients
+from winchspan.standins.rehearsal import Process
+from winchspan.standins.scenario import Scenario, storm_scenario
+from winchspan.standins.sockets import HOST, Discovery, Server, answer, read_request
+
+LINKS = 16                # connections of the clients, each with one request at a time
+TOOK = 0.02               # s that a call takes at the partner
+CLOSE = 2.0               # s after the last message
+
+
+class Counting:
+    """A partner's endpoint that takes all and counts how often it got each message."""
+
+    def __init__(self) -> None:
+        self.calls: Counter[str] = Counter()
+        self.server = Server(self._serve)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while (request := await read_request(reader)) is not None:
+            self.calls[request.headers["x-request-id"]] += 1
+            await asyncio.sleep(TOOK)
+            writer.write(answer(200))
+
+
+async def hand_in(port: int, jobs: asyncio.Queue[tuple[float, int]], took: list[float],
+                  refused: Counter[str]) -> None:
+    """One connection of the clients."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    while True:
+        at, number = await jobs.get()
+        words = [b"SUBMIT", b"0", b"%016x" % number, b"c=gallery-notice,d=5000,dest=7", b"x" * 400]
+        begun = time.perf_counter()
+        writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+        line = await reader.readline()
+        took.append((time.perf_counter() - begun) * 1_000.0)
+        if not line.startswith(b"+"):
+            refused[line.decode().split()[0]] += 1
+
+
+async def play(folder: Path, rate: float, seconds: float) -> None:
+    """Play it, and print the figures."""
+    loop, clock = asyncio.get_running_loop(), Clock()
+    idle = Clients({}, [], 0, clock, Deadlines(clock, loop))
+    discovery, partner = Discovery(idle, lambda line: None), Counting()
+    await discovery.server.start()
+    await partner.server.start()
+    discovery.listed("s-7-0", partner.server.port, 7, 10.0 * rate)
+    scenario: Scenario = storm_scenario(couriers=1, changes={"slots": 64, "max_held": 500})
+    courier = Process(folder, 0, None)
+    courier.configure(scenario, discovery.server.port, discovery.listing())
+    courier.start()
+    took, refused = list[float](), Counter[str]()
+    jobs: asyncio.Queue[tuple[float, int]] = asyncio.Queue()
+    try:
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            try:
+                _, writer = await asyncio.open_connection(HOST, courier.port)
+                writer.close()
+                break
+            except OSError:
+                continue
+        links = [loop.create_task(hand_in(courier.port, jobs, took, refused)) for _ in range(LINKS)]
+        begun, total = time.perf_counter(), int(rate * seconds)
+        for number in range(total):
+            await asyncio.sleep(max(0.0, begun + number / rate - time.perf_counter()))
+            jobs.put_nowait((begun + number / rate, number))
+        await asyncio.sleep(CLOSE)
+        for link in links:
+            link.cancel()
+        ranks = statistics.quantiles(took, n=1_000)
+        print(f"{len(took)} messages, {rate:g}/s: +OK p50 {ranks[499]:.2f} ms, p99 {ranks[989]:.2f} ms, "
+              f"p99.9 {ranks[998]:.2f} ms, most {max(took):.1f} ms; refused {dict(refused)}; "
+              f"sent more than once {sum(n > 1 for n in partner.calls.values())}, "
+              f"never {total - len(partner.calls)}")
+    finally:
+        courier.stop()
+        partner.server.close()
+        discovery.server.close()
+
+
+@click.command()
+@click.option("--folder", type=click.Path(exists=True, file_okay=False, path_type=Path), required=True,
+              help="A folder on the disk to be measured.")
+@click.option("--rate", default=200.0, help="Messages a second.")
+@click.option("--seconds", default=75.0, help="How long.")
+def main(folder: Path, rate: float, seconds: float) -> None:
+    """Measure what the journal costs on a disk."""
+    with tempfile.TemporaryDirectory(dir=folder) as own:
+        asyncio.run(play(Path(own), rate, seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/winchspan/emulator/emulation.py
+++ b/winchspan/emulator/emulation.py
@@ -61,7 +61,7 @@
 
 
 TROUBLES = ("cut", "vanish", "reset", "step", "hup", "term", "full", "drain", "offline", "retune",
-            "upgrade")
+            "upgrade", "hang")
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,6 +326,10 @@
         elif t.what == "full":
             self._fill(struck.machine, True)
             self._loop.call_later(t.lasts / 1_000.0, self._fill, struck.machine, False)
+        elif t.what == "hang":
+            if struck.machine.life is not None:
+                struck.machine.life.hang(t.lasts)
+                self.auditor.hangs(t.source, t.lasts)
         elif t.what == "hup":
             struck.signal(signal.SIGHUP)
         elif t.what == "upgrade":
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable, Coroutine, Mapping
 from contextvars import Context
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -15,10 +16,12 @@
 from winchspan.emulator.loop import EmulatedLoop
 from winchspan.emulator.network import EmulatedListener, End, Network
 from winchspan.interface import Settings
+from winchspan.lookout import Lookout
 from winchspan.standins.inline import InlineKeeper
 from winchspan.system import Disk, Listener, System
 from winchspan.undelivered.setup import keep_settings
 
+CLEAN = 4                 # turns in a row with nothing to read, after which a life has caught up
 UNIX = 1_700_000_000_000.0    # ms: wall time at the loop's first reading
 
 
@@ -133,7 +136,7 @@
 
     def __init__(self, life: Life, environ: Mapping[str, str]) -> None:
         super().__init__(life.machine.clock, environ)
-        self._life = life
+        self._life, self.lookout = life, life.lookout
         self.keeper, self.disk = self._keeper, life.machine.disk
 
     def _keeper(self, values: Mapping[str, Any], settings: Settings, clock: Clock,
@@ -173,6 +176,10 @@
         self._signals: dict[int, Callable[[], object]] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._on_end: list[Callable[[], None]] = []
+        self.lookout = Lookout()
+        self.held = False                     # it hangs: what comes and what is due waits
+        self._came: list[Callable[[], None]] = []
+        self._late: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
 
     # ---- the life itself ---------------------------------------------------------------------------------
     def at_end(self, action: Callable[[], None]) -> None:
@@ -191,6 +198,39 @@
         for action in self._on_end:
             action()
 
+    def hang(self, lasts: float) -> None:
+        """Hold it for some ms, as SIGSTOP or a busy core does; then what has come is read first."""
+        if self.alive and not self.held:
+            self.held = True
+            self._loop.call_later(lasts / 1_000.0, self._wake, self.machine.clock.now())
+
+    def once_awake(self, action: Callable[[], None]) -> bool:
+        """Whether it hangs; if so, something that has come is done once it does not."""
+        if self.held and self.alive:
+            self._came.append(action)
+        return self.held and self.alive
+
+    def _wake(self, since: float) -> None:
+        """It goes on: what is read until it has caught up may have come at any time of the hang."""
+        self.held, self.lookout.since = False, since
+        came, self._came = self._came, []
+        for action in came:
+            self._loop.call_soon(action)
+        self._catch_up(CLEAN)
+
+    def _catch_up(self, clean: int) -> None:
+        """Look, turn by turn, whether there is anything left to read; then what is due may be done."""
+        if self.held:
+            return                            # the next hang has begun
+        unread = any(end.unread for end in self._ends) or any(one.waits for one in self._listeners)
+        if unread or clean > 1:
+            self._loop.call_soon(self._catch_up, CLEAN if unread else clean - 1)
+            return
+        self.lookout.since = float("inf")
+        late, self._late = self._late, []
+        for callback, args in late:
+            self._loop.call_soon(self._run, callback, args)
+
     def bury(self) -> list[asyncio.Task[Any]]:
         """Its tasks, to be cancelled when the emulation is over."""
         return [task for task in self._tasks if not task.done()]
@@ -223,7 +263,9 @@
         return self.machine.clock.now() / 1_000.0
 
     def _run(self, callback: Callable[..., object], args: tuple[Any, ...]) -> None:
-        if self.alive:
+        if self.alive and self.held:
+            self._late.append((callback, args))
+        elif self.alive:
             callback(*args)
 
     def call_soon(self, callback: Callable[..., object], *args: Any,
@@ -281,7 +323,12 @@
         """Connect; raises OSError."""
         if not self.alive:
             await self._loop.create_future()      # for ever: nothing of a life that is over goes on
-        return self._adopt(await self._net.connect(self, int(port)), protocol_factory)
+        end = await self._net.connect(self, int(port))
+        while self.held:
+            awake: asyncio.Future[None] = self._loop.create_future()
+            self.once_awake(partial(awake.set_result, None))
+            await awake
+        return self._adopt(end, protocol_factory)
 
     async def connect_accepted_socket(self, protocol_factory: Any, sock: Any,
                                       **options: Any) -> tuple[End, Any]:
--- a/winchspan/emulator/network.py
+++ b/winchspan/emulator/network.py
@@ -355,6 +355,8 @@
                 self._finish()
 
     def _on(self) -> None:
+        if self.life is not None and self.life.once_awake(self._on):
+            return
         if not self.over and self._outbox:
             self._flush()
 
@@ -401,6 +403,8 @@
             self._net.loop.call_soon(self._lost, why)
 
     def _lost(self, why: Exception | None) -> None:
+        if self.life is not None and self.life.once_awake(lambda: self._lost(why)):
+            return
         if self._hears():
             self._protocol.connection_lost(why)
 
@@ -461,6 +465,8 @@
 
     def _feed(self) -> None:
         """Give the protocol one piece of what has come."""
+        if self.life is not None and self.life.once_awake(self._feed):
+            return
         self._feeding = False
         if self._paused or self.over or self._closing or not self._hears():
             return
@@ -482,6 +488,11 @@
         elif self._ended and not self._protocol.eof_received():
             self.close()
 
+    @property
+    def unread(self) -> bool:
+        """Whether something has come that the protocol is about to be given."""
+        return bool(self._inbox) and self._protocol is not None and not (self._paused or self._closing)
+
     def _read(self, size: int) -> None:
         """So much has been read: the other side may send as much again."""
         peer = self.peer
@@ -517,7 +528,14 @@
         if self._waiting and self.told is not None and self.life.alive:
             self._net.loop.call_soon(self._tell)
 
+    @property
+    def waits(self) -> bool:
+        """Whether somebody waits to be accepted by whoever is told of it."""
+        return bool(self._waiting) and self.told is not None
+
     def _tell(self) -> None:
+        if self.life.once_awake(self._tell):
+            return
         if self._waiting and self.told is not None and self.life.alive:
             self.told()
             self.tell()
--- a/winchspan/lookout.py
+++ b/winchspan/lookout.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 BLOCKED = 0.2             # ms: a look that took longer had to wait; what it found has only just come
+STANDS = 0.0001           # ms: no look takes less; a clock by which one does is not moving
 OVERRUN = 5.0             # ms past its time-out after which a look was itself held up; timers are whole ms
 
 
 class Lookout:
     """Watches the loop's looks at its sockets. One that is told of none takes all for just come."""
 
-    __slots__ = ("since", "at", "looks")
+    __slots__ = ("since", "at", "looks", "_before")
 
     def __init__(self, began: float = float("inf")) -> None:
         """Begin.
@@ -25,6 +26,7 @@
         self.since = began        # what is read now came after this
         self.at = began           # when the last look ended: what was due by then may be judged
         self.looks = 0            # how many there were that tell something
+        self._before = began      # when the last of these ended
 
     def looked(self, start: float, end: float, timeout: float | None) -> None:
         """A look at the sockets is over.
@@ -34,13 +36,13 @@
             end: when it ended, with what had come or at its time-out.
             timeout: ms that it was to wait at most; None: without an end.
         """
-        before, self.at = self.at, end
-        if end <= start:
+        self.at, took = end, end - start
+        if took < STANDS:
             # Guards against a clock that stands still, as one does that ran ahead while the process was held
             # up: then no time has passed for it, and what comes may still be as old as the delay.
             return
         self.looks += 1
-        took = end - start
+        before, self._before = self._before, end
         held_up = timeout is not None and took > timeout + OVERRUN
         self.since = before if held_up or took < BLOCKED else end
 
