--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     "winchspan.choice": 1, "winchspan.retune": 1, "winchspan.storms": 1, "winchspan": 1,
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
+    "winchspan.members": 1,
     "winchspan.courier": 2, "winchspan.journal": 2,
     "winchspan.undelivered.store": 2, "winchspan.undelivered.keeper": 2, "winchspan.undelivered.resender": 2,
     "winchspan.undelivered.desk": 2, "winchspan.undelivered.trail": 2, "winchspan.undelivered.queries": 2,
