--- a/deploy/kenanga.sexp
+++ b/deploy/kenanga.sexp
@@ -8,3 +8,5 @@
   (on no))          ; off: the folder that lasts has 3 MB, and is the journal's
 (control
   (on no))          ; off: nobody is on a courier's machine to ask
+(fleet
+  (on no))          ; off: couriers share nothing on this platform
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,149 @@
+"""Real couriers that know of each other, and faults between them; each test waits for observed states."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from winchspan.standins.couriers import HOST, Fleet, wait_for
+
+ALL = (3, 0, 0, 0)
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    found = Fleet(tmp_path, 3)
+    yield found
+    found.stop()
+
+
+def test_who_is_killed_is_gone_and_comes_back_in_another_life(fleet: Fleet):
+    fleet.start()
+    fleet["n1"].kill()
+    fleet.wait("n1 is gone", ("n0", (2, 0, 1, 0)), ("n2", (2, 0, 1, 0)))
+    assert "n1 is gone" in fleet["n0"].log() and "suspected for" in fleet["n0"].log() + fleet["n2"].log()
+    fleet["n1"].start()
+    fleet.wait("n1 is back", *((name, ALL) for name in ("n0", "n1", "n2")))
+    wait_for("its new life is told", lambda: "n1 goes on in another process" in fleet["n0"].log())
+
+
+def test_who_wakes_from_a_stop_accuses_nobody_and_takes_its_place_again(fleet: Fleet):
+    fleet.start()
+    fleet["n2"].signal(signal.SIGSTOP)
+    fleet.wait("n2 is gone", ("n0", (2, 0, 1, 0)), ("n1", (2, 0, 1, 0)))
+    before = len(fleet["n2"].log())
+    fleet["n2"].signal(signal.SIGCONT)
+    fleet.wait("n2 is there", *((name, ALL) for name in ("n0", "n1", "n2")))
+    assert " is suspect" not in fleet["n2"].log()[before:] and " is gone" not in fleet["n2"].log()[before:]
+    assert "goes on in another process" not in fleet["n0"].log(), "it is the same life"
+
+
+def test_who_is_told_to_stop_leaves_by_intent_and_is_never_suspected(fleet: Fleet):
+    fleet.start()
+    fleet["n0"].signal(signal.SIGTERM)
+    fleet.wait("n0 has left", ("n1", (2, 0, 0, 1)), ("n2", (2, 0, 0, 1)))
+    process = fleet["n0"].process
+    assert process is not None and process.wait(60.0) == 0
+    assert "n0 is suspect" not in fleet["n1"].log() + fleet["n2"].log()
+
+
+def test_all_killed_at_once_find_each_other_again(fleet: Fleet):
+    fleet.start()
+    for courier in fleet.couriers.values():
+        courier.kill()
+    fleet.start()
+
+
+def test_the_fleet_grows_by_sighup_and_shrinks_for_good(tmp_path: Path):
+    fleet = Fleet(tmp_path, 4)
+    try:
+        fleet.section(["n0", "n1", "n2"])
+        for name in ("n0", "n1", "n2"):
+            fleet[name].start()
+        fleet.wait("three know each other", *((name, ALL) for name in ("n0", "n1", "n2")))
+        fleet.section(["n0", "n1", "n2", "n3"])
+        fleet["n3"].start()
+        for name in ("n0", "n1", "n2"):
+            fleet[name].signal(signal.SIGHUP)
+        fleet.wait("four know each other", *((f"n{k}", (4, 0, 0, 0)) for k in range(4)))
+        (fleet["n0"].folder / "operator.sexp").write_text("(fleet (on yes) (members")
+        fleet["n0"].signal(signal.SIGHUP)
+        wait_for("the broken file is told", lambda: "file goes on as it was" in fleet["n0"].log())
+        assert fleet["n0"].members() == (4, 0, 0, 0)
+    finally:
+        fleet.stop()
+
+
+def test_garbage_and_strangers_are_counted_and_change_nothing(fleet: Fleet):
+    fleet.start()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        for data in (b"", b"WS", b"WS\x09\x00x", b"WS\x01\x00\x81", b"x" * 2_000):
+            for _ in range(20):
+                stranger.sendto(data, (HOST, fleet.ports["n0"]))
+
+    def dropped() -> dict[str, int]:
+        found = fleet["n0"].figures().items()
+        return {k.removeprefix("fleet.dropped."): n for k, n in found if "dropped" in k}
+    wait_for("all are counted", lambda: sum(dropped().values()) >= 100)
+    assert dropped() == {"no_frame_of_ours": 40, "unknown_version_9": 20, "not_readable": 20, "too_large": 20}
+    assert all(courier.members() == ALL for courier in fleet.couriers.values())
+
+
+def test_couriers_with_different_secrets_are_strangers(tmp_path: Path):
+    (tmp_path / "secret").write_bytes(b"one")
+    (tmp_path / "other").write_bytes(b"two")
+    fleet = Fleet(tmp_path, 3, f'(secret-file "{tmp_path}/secret")')
+    try:
+        odd = fleet["n2"]
+        odd.fleet = odd.fleet.replace("/secret", "/other")
+        odd.write(3)
+        for courier in fleet.couriers.values():
+            courier.start()
+        fleet.wait("two know each other", ("n0", (2, 0, 0, 0)), ("n1", (2, 0, 0, 0)))
+        wait_for("the third is turned away",
+                 lambda: fleet["n0"].figures().get("fleet.dropped.wrong_signature", 0) > 0)
+        assert odd.members() == (1, 0, 0, 0)
+    finally:
+        fleet.stop()
+
+
+@pytest.mark.parametrize(("change", "told"), [
+    (("n0=", "n9="), "operator.sexp:2:8: fleet.members: this courier, 'n0', is not among"),
+    (("n1=", "n0="), "operator.sexp:2:8: fleet.members: the name 'n0' stands twice"),
+    (('(listen "127.0.0.1:', '(listen "127.0.0.1:1'), "operator.sexp:1:17: fleet.listen"),
+    (("(on yes)", "(on yes) (period 0.1)"), "fleet.answer: must be a third of fleet.period, 0.1 s"),
+    (("(on yes)", '(on yes) (secret-file "/nowhere")'), "fleet.secret-file: expected an existing file")])
+def test_a_fleet_that_cannot_be_ends_the_start_with_one_line(tmp_path: Path, change: tuple[str, str],
+                                                             told: str):
+    fleet = Fleet(tmp_path, 3)
+    courier = fleet["n0"]
+    courier.fleet = courier.fleet.replace(*change)
+    courier.write(3)
+    courier.start()
+    assert courier.process is not None and courier.process.wait(60.0) == 2
+    assert len(courier.log().splitlines()) == 1 and told in courier.log(), courier.log()
+
+
+def test_a_port_that_is_taken_ends_the_start_with_one_line(tmp_path: Path):
+    fleet = Fleet(tmp_path, 3)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+        other.bind((HOST, fleet.ports["n0"]))
+        fleet["n0"].start()
+        process = fleet["n0"].process
+        assert process is not None and process.wait(60.0) == 2
+    assert "operator.sexp:1:17: fleet.listen: " in fleet["n0"].log() and "in use" in fleet["n0"].log()
+
+
+def test_with_the_fleet_off_nothing_of_it_is_imported():
+    code = ("import sys, winchspan.__main__, winchspan.daemon, winchspan.system; from pathlib import Path;"
+            "from winchspan.operator.sections import load; load(Path('deploy/kenanga.sexp'));"
+            "print([m for m in sys.modules if 'members' in m or 'fleet' in m or 'msgspec' in m])")
+    root = Path(__file__).parent.parent
+    out = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True)
+    assert out.stdout.strip() == "[]"
--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -56,8 +56,9 @@
     from winchspan.daemon import Daemon
     from winchspan.system import System
 
+    words = sys.argv[1:] if words is None else words
     try:
-        operator = _operator(sys.argv[1:] if words is None else words)
+        operator = _operator(words)
         config = load(os.environ)
     except ConfigError as err:
         print(f"winchspan: {err}", file=sys.stderr)
@@ -84,13 +85,16 @@
 
     async def serve() -> None:
         loop = asyncio.get_running_loop()
-        daemon = Daemon(config, loop, operator, system, inherited, listener)
+        daemon = Daemon(config, loop, operator, system, inherited, listener, lambda: _operator(words))
         take_signals(loop, daemon)
         await daemon.run()
 
     try:
         with asyncio.Runner(loop_factory=system.loop) as runner:
             runner.run(serve())
+    except ConfigError as err:
+        print(f"winchspan: {err}", file=sys.stderr)
+        return 2
     except OSError as err:
         print(f"winchspan: {err}", file=sys.stderr)
         return 1
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -61,8 +61,19 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, operator: Operator,
                  system: System | None = None, inherited: Inherited | None = None,
-                 listener: Listener | None = None) -> None:
-        self._inherited, self._listener = inherited, listener
+                 listener: Listener | None = None, reread: Callable[[], Operator] | None = None) -> None:
+        """Wire it; raises ConfigError and OSError.
+
+        Args:
+            config: the platform's.
+            loop: where it runs.
+            operator: what the operator's file says.
+            system: clock, disk and sockets; the real one if None.
+            inherited: what the process before has handed over.
+            listener: the clients' listening socket, where the platform holds it.
+            reread: reads the operator's file once more, at SIGHUP; raises ConfigError.
+        """
+        self._inherited, self._listener, self._reread = inherited, listener, reread
         self.config, self.loop, self.system = config, loop, system or System()
         storms = operator.get("storms", {})
         words = bool(storms.get("on") and storms.get("words"))
@@ -71,7 +82,7 @@
         self.clock, lookout = self.system.clock, self.system.lookout
         self.deadlines = Deadlines(self.clock, loop, lookout)
         self._journal = Journal(config.state, config.disk_bytes, self.system.disk)
-        own = OWN_FILES + (ADMIN_FILES if config.admin else 0)
+        own = OWN_FILES + (ADMIN_FILES if config.admin else 0) + bool(operator.get("fleet", {}).get("on"))
         budget = self._budget = SocketBudget(config.sockets - own)
         self._figures = Figures(settings.classes)
         self.classes = dict(settings.classes)       # those in force, for whoever looks at them later
@@ -201,6 +212,12 @@
         self._watch.move(self.config.discovery)
         self._notices.move(self.config.discovery)
         logger.info("SIGHUP: discovery is at {}", self.config.discovery)
+        try:
+            operator = self._reread() if self._reread is not None else {}
+            for part in self._parts if operator else ():
+                part.reread(operator)
+        except ConfigError as err:
+            logger.error("SIGHUP: the operator's file goes on as it was: {}", err)
 
     def _retune(self, found: api.Settings) -> None:
         """Other settings hold, everywhere in one step."""
--- /dev/null
+++ b/winchspan/fleet.py
@@ -0,0 +1,125 @@
+"""The fleet as a part of a courier: the machine of its members, their link, figures and log."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from winchspan.config import Address, ConfigError
+from winchspan.deadlines import Deadline
+from winchspan.members.messages import Datagram
+from winchspan.members.swim import Action, Changed, Conflict, Restarted, Send, Swim, Timing
+from winchspan.net.fleet_link import FleetLink
+from winchspan.operator.schema import place_of
+from winchspan.operator.sections import address, member
+from winchspan.part import Operator, Part
+
+if TYPE_CHECKING:
+    from winchspan.daemon import Daemon
+
+
+class FleetPart(Part):
+    """What couriers know of each other."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon, values = daemon, daemon.wishes.operator["fleet"]
+        if daemon.config.socket_fd is not None:
+            raise ConfigError(f"{place_of(values, 'on')}: fleet.on: not beside ROUTER_SOCKET_FD: two "
+                              "processes would speak under one name")
+        members = fleet_members(values, daemon.config.name)
+        secret = Path(values["secret-file"]).read_bytes() if values["secret-file"] else b""
+        own = members[daemon.config.name]
+        try:
+            self._socket = daemon.system.datagrams(own.host, own.port)
+        except OSError as err:
+            raise ConfigError(f"{place_of(values, 'listen')}: fleet.listen: {own}: {err.strerror}") from None
+        timing = Timing(values["period"] * 1_000.0, values["answer"] * 1_000.0, values["suspicion"])
+        self._swim = Swim(daemon.config.name, members, daemon.system.nonce(), daemon.config.seed,
+                          daemon.clock.now(), timing)
+        self._link = FleetLink(members, secret, self._got)
+        self._timer: Deadline | None = None
+
+    async def start(self) -> None:
+        """Begin to listen and to ping."""
+        await self._link.open(self._daemon.loop, self._socket)
+        self._tick()
+
+    def reread(self, operator: Operator) -> None:
+        """The operator's file has been read again: members may have come, or gone for good."""
+        values = operator["fleet"]
+        if not values["on"]:
+            raise ConfigError(f"{place_of(values, 'on')}: fleet.on: can be switched off at a start only")
+        members = fleet_members(values, self._daemon.config.name)
+        if members[self._daemon.config.name] != self._link.members[self._daemon.config.name]:
+            raise ConfigError(f"{place_of(values, 'listen')}: fleet.listen: can be changed at a start only")
+        self._link.members = members
+        self._carry_out(self._swim.reconfigure(self._daemon.clock.now(), members))
+
+    def stop(self) -> bool:
+        """Tell the others that it leaves by intent."""
+        self._carry_out(self._swim.leave(self._daemon.clock.now()))
+        return False
+
+    def status(self) -> dict[str, Any]:
+        """Who is there, as this courier sees it."""
+        now = self._daemon.clock.now()
+        members = {name: {"state": "unknown" if r.state is None else r.state.name.lower(),
+                          "incarnation": r.incarnation, "for_s": round((now - r.since) / 1_000.0, 1),
+                          "conflict": r.conflict} for name, r in self._swim.records.items()}
+        return {"fleet": {"incarnation": self._swim.incarnation, "health": self._swim.sick,
+                          "conflict": self._swim.conflict, "members": members,
+                          "dropped": dict(self._link.dropped + self._swim.dropped)}}
+
+    def figures(self) -> dict[str, int]:
+        """Members by state, this courier among them, its own health, and frames dropped by cause."""
+        found = {f"fleet.members.{state}": n for state, n in self._swim.counts().items()}
+        found |= {"fleet.health": self._swim.sick, "fleet.frames.sent": self._link.sent,
+                  "fleet.frames.received": self._link.received}
+        dropped = self._link.dropped + self._swim.dropped
+        return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in dropped.items()}
+
+    def close(self) -> None:
+        """Let go of the socket."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._link.close()
+        self._socket.close()
+
+    def _got(self, datagram: Datagram) -> None:
+        self._carry_out(self._swim.received(self._daemon.clock.now(), datagram))
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self._swim.tick(self._daemon.clock.now()))
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(to, datagram):
+                    self._link.send(to, datagram)
+                case Changed(name, state, incarnation, _, why):
+                    logger.info("fleet: {} is {}, incarnation {}: {}", name,
+                                "no member" if state is None else state.name.lower(), incarnation, why)
+                case Restarted(name, _):
+                    logger.info("fleet: {} goes on in another process", name)
+                case Conflict(name):
+                    logger.error("fleet: two processes speak under the name {}", name)
+        if self._timer is None or self._timer.at > self._swim.next_at:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self._daemon.deadlines.add(self._swim.next_at, self._tick)
+
+
+def fleet_members(values: Mapping[str, Any], name: str) -> dict[str, Address]:
+    """The members of the section `fleet`; raises ConfigError unless this courier is one of them."""
+    members = dict(map(member, values["members"]))
+    if name not in members:
+        raise ConfigError(f"{place_of(values, 'members')}: fleet.members: this courier, {name!r}, is not "
+                          f"among {', '.join(members)}")
+    if members[name] != address(values["listen"]):
+        raise ConfigError(f"{place_of(values, 'listen')}: fleet.listen: {values['listen']} is not the "
+                          f"address of {name!r}, {members[name]}")
+    return members
--- a/winchspan/operator/schema.py
+++ b/winchspan/operator/schema.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -55,6 +55,19 @@
     doc: str
     keys: tuple[Key, ...]
     repeats: bool = False
+    rule: Callable[[dict[str, Any]], Iterable[tuple[str, str]]] | None = None   # complaints: key, and what
+
+
+class Values(dict[str, Any]):
+    """The values of a section, by key; `places` says where each that is given stands, and "" the section."""
+
+    places: Mapping[str, str] = {"": "?"}
+
+
+def place_of(values: Mapping[str, Any], key: str) -> str:
+    """File, line and column of a key, or of its section if the key is left out."""
+    places = values.places if isinstance(values, Values) else Values.places
+    return places.get(key, places[""])
 
 
 def _value(key: Key, node: Node) -> Any:
@@ -80,7 +93,7 @@
     Raises one OperatorError that holds a line for each complaint. A section that is absent has defaults.
     """
     known = {section.name: section for section in sections}
-    found: dict[str, dict[str, Any]] = {}
+    found: dict[str, Any] = {}
     faults: list[str] = []
 
     def fault(node: Node, text: str) -> None:
@@ -108,11 +121,17 @@
         if section.name in found:
             fault(head, f"{section.name}: the section stands twice")
             continue
-        found[section.name] = _section(section, node.value[1:], fault)
+        values = _section(section, node.value[1:], fault)
+        at = {part.value[0].value: part for part in node.value[1:] if part.is_list and part.value}
+        for key, text in section.rule(_defaults(section) | values) if section.rule is not None else ():
+            fault(at.get(key, node), f"{section.name}.{key}: {text}")
+        found[section.name] = Values(_defaults(section) | values)
+        found[section.name].places = {"": f"{name}:{node.line}:{node.column}"} | {
+            key: f"{name}:{part.line}:{part.column}" for key, part in at.items()}
     if faults:
         raise OperatorError("\n".join(faults))
-    return {section.name: found.get(section.name, {}) if section.repeats else
-            _defaults(section) | found.get(section.name, {}) for section in sections}
+    return {section.name: found.get(section.name, {} if section.repeats else _defaults(section))
+            for section in sections}
 
 
 def _defaults(section: Section) -> dict[str, Any]:
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+from winchspan.config import Address, ConfigError, parse_address
 from winchspan.operator.reader import OperatorError, read
 from winchspan.operator.schema import Key, Section, check
 
@@ -72,7 +75,69 @@
     Key("approve", bool, False, "whether an operator must approve each"),
 ), repeats=True)
 
-SECTIONS = (STORMS, UNDELIVERED, RESEND, CONTROL)
+
+
+def member(text: str) -> tuple[str, Address]:
+    """The name and address of a member, from `n0=127.0.0.1:7100`; raises ValueError."""
+    name, equals, where = text.partition("=")
+    if not equals or not MEMBER.fullmatch(name):
+        raise ValueError(f"expected NAME=HOST:PORT, the name of up to 64 letters, digits, - and _, "
+                         f"not {text!r:.80}")
+    return name, address(where)
+
+
+def address(text: str) -> Address:
+    """An address; raises ValueError with what was expected."""
+    try:
+        return parse_address(text, "")
+    except ConfigError:
+        raise ValueError(f"expected HOST:PORT, not {text!r:.80}") from None
+
+
+def _fleet(values: dict[str, Any]) -> Iterator[tuple[str, str]]:
+    """What is wrong with a fleet."""
+    if not values["on"]:
+        return
+    names, addresses = set[str](), set[Address]()
+    for text in values["members"]:
+        try:
+            name, where = member(text)
+        except ValueError as err:
+            yield "members", str(err)
+            continue
+        if name in names:
+            yield "members", f"the name {name!r} stands twice"
+        if where in addresses:
+            yield "members", f"the address {where} stands twice"
+        names.add(name)
+        addresses.add(where)
+    if len(values["members"]) < 2:
+        yield "members", "expected two members at least"
+    try:
+        if address(values["listen"]) not in addresses:
+            yield "listen", f"{values['listen']} is the address of no member"
+    except ValueError as err:
+        yield "listen", str(err)
+    if values["answer"] * 3 > values["period"]:
+        yield "answer", (f"must be a third of fleet.period, {values['period']:g} s, at most, not "
+                         f"{values['answer']:g} s: others are asked within the period")
+    if values["secret-file"] and not Path(values["secret-file"]).is_file():
+        yield "secret-file", f"expected an existing file, not {values['secret-file']!r:.80}"
+
+
+MEMBER = re.compile(r"[0-9A-Za-z_-]{1,64}")
+FLEET = Section("fleet", "Couriers that know of each other; all have the same section but for `listen`.", (
+    Key("on", bool, False, "switch the subsystem on"),
+    Key("listen", str, "", "this courier's address, HOST:PORT, UDP; needed where it is on"),
+    Key("members", tuple, (), "all couriers, each NAME=HOST:PORT; needed where it is on", of=str),
+    Key("secret-file", str, "", "file whose bytes sign each frame; none: frames are not signed"),
+    Key("period", float, 0.3, "between two pings of a member", "s", 0.05, 60),
+    Key("answer", float, 0.08, "for its answer, before others are asked to ping it", "s", 0.01, 20),
+    Key("suspicion", float, 4.0, "least time that a member is suspected, times log10 of the fleet's size",
+        "periods", 1, 1_000),
+), rule=_fleet)
+
+SECTIONS = (STORMS, UNDELIVERED, RESEND, CONTROL, FLEET)
 SOCKET_NAME = 100         # bytes of a socket's name that the system takes, less some: unix(7)
 
 
--- a/winchspan/part.py
+++ b/winchspan/part.py
@@ -8,6 +8,8 @@
 
 from winchspan import interface as api
 
+Operator = Mapping[str, Mapping[str, Any]]    # the operator's file: section to key to value
+
 
 class Part:
     """One optional part; each method is called for all parts in the order of `parts.chosen`.
@@ -32,6 +34,9 @@
     def retune(self, settings: api.Settings) -> None:
         """Other settings hold."""
 
+    def reread(self, operator: Operator) -> None:
+        """The operator's file has been read again; raises ConfigError, and then goes on as before."""
+
     def stop(self) -> bool:
         """The courier is told to stop; True if this part sees to it, and the rest waits."""
         return False
@@ -53,9 +58,6 @@
         """The life ends."""
 
 
-Operator = Mapping[str, Mapping[str, Any]]    # the operator's file: section to key to value
-
-
 class Wishes(NamedTuple):
     """What a part is chosen and made by."""
 
--- a/winchspan/parts.py
+++ b/winchspan/parts.py
@@ -173,6 +173,13 @@
             self._giver.close()
 
 
+def _fleet(daemon: Daemon) -> Part:
+    """What couriers know of each other: a module of its own, imported only where it is on."""
+    from winchspan.fleet import FleetPart
+
+    return FleetPart(daemon)
+
+
 def chosen(daemon: Daemon) -> list[Part]:
     """The parts that the operator's file and the platform ask for, in the order in which all are called."""
     operator, config = daemon.wishes.operator, daemon.config
@@ -181,7 +188,8 @@
         (bool(operator.get("undelivered", {}).get("on")), UndeliveredPart),
         (config.admin is not None, AdminPart),
         (bool(operator.get("control", {}).get("on")), ControlPart),
-        (config.socket_fd is not None, UpgradePart)]
+        (config.socket_fd is not None, UpgradePart),
+        (bool(operator.get("fleet", {}).get("on")), _fleet)]
     return [part(daemon) for wished, part in wanted if wished]
 
 
--- /dev/null
+++ b/winchspan/standins/couriers.py
@@ -0,0 +1,143 @@
+"""Several couriers of a fleet as real processes, for tests and rehearsals: started, signalled, and asked."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from pathlib import Path
+
+from winchspan.standins.platform import platform, wire
+
+HOST = "127.0.0.1"
+PATIENCE = 60.0           # s: far more than anything takes; no verdict hangs on it
+LOOK = 0.02               # s between two looks at a state that is waited for
+
+
+def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
+    """Ports that were free a moment ago, each another."""
+    probes = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    for probe in probes:
+        probe.bind((HOST, 0))
+    found = [int(probe.getsockname()[1]) for probe in probes]
+    for probe in probes:
+        probe.close()
+    return found
+
+
+def wait_for(what: str, check: Callable[[], bool]) -> float:
+    """Wait for a state; returns how many seconds it took. Raises AssertionError, naming it."""
+    begun = time.monotonic()
+    while not check():
+        assert time.monotonic() - begun < PATIENCE, what
+        time.sleep(LOOK)
+    return time.monotonic() - begun
+
+
+class FleetCourier:
+    """One courier's process, with its folder, its front for operators, and its place in the fleet."""
+
+    def __init__(self, folder: Path, name: str, discovery: int = 9) -> None:
+        self.folder, self.name, self._discovery = folder, name, discovery
+        self.listen, self.admin = free_ports(2)
+        self.fleet = ""           # the section of the operator's file
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def write(self, couriers: int) -> None:
+        """Write its configuration and its operator's file."""
+        (self.folder / "state").mkdir(parents=True, exist_ok=True)
+        (self.folder / "operator.sexp").write_text(self.fleet)
+        (self.folder / "config.json").write_text(json.dumps({
+            "name": self.name, "listen": f"{HOST}:{self.listen}", "admin": f"{HOST}:{self.admin}",
+            "discovery": f"{HOST}:{self._discovery}", "state": str(self.folder / "state"), "seed": "1",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3}, "known": {},
+            "settings": wire(platform(couriers))}))
+
+    def start(self) -> None:
+        """Begin a life."""
+        env = {**os.environ, "ROUTER_CONFIG": str(self.folder / "config.json")}
+        with (self.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "winchspan", "--operator", str(self.folder / "operator.sexp")],
+                env=env, stderr=log, stdout=log)
+
+    def signal(self, number: int) -> None:
+        """Send it a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it without warning, frozen or not."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.process = None
+
+    def log(self) -> str:
+        """All that its lives have logged."""
+        return (self.folder / "log").read_text(errors="replace")
+
+    def figures(self) -> dict[str, int]:
+        """Its figures by name, without `courier.`; empty if it does not answer."""
+        try:
+            url = f"http://{HOST}:{self.admin}/control/counters"
+            with urllib.request.urlopen(url, timeout=1.0) as answer:
+                lines = answer.read().decode().splitlines()
+        except (urllib.error.URLError, OSError):
+            return {}
+        pairs = (line.partition("|")[0].rpartition(":") for line in lines)
+        return {name.removeprefix("courier."): int(value) for name, _, value in pairs}
+
+    def members(self) -> tuple[int, int, int, int]:
+        """How many members it holds for alive, suspect, gone and left; zeros if it does not answer."""
+        found = self.figures()
+        alive, suspect, gone, left = (found.get(f"fleet.members.{state}", 0)
+                                      for state in ("alive", "suspect", "gone", "left"))
+        return alive, suspect, gone, left
+
+
+class Fleet:
+    """Some couriers that know of each other, `n0` and on."""
+
+    def __init__(self, folder: Path, size: int, more: str = "") -> None:
+        """Write all files; nobody runs yet. `more` stands in each section `fleet`."""
+        ports = free_ports(size, socket.SOCK_DGRAM)
+        self.ports = {f"n{number}": port for number, port in enumerate(ports)}
+        self.couriers = {name: FleetCourier(folder / name, name) for name in self.ports}
+        self._more = more
+        self.section(list(self.ports))
+
+    def section(self, names: list[str]) -> None:
+        """Name these the members, in everybody's file."""
+        members = " ".join(f'"{name}={HOST}:{self.ports[name]}"' for name in names)
+        for name, courier in self.couriers.items():
+            courier.fleet = (f'(fleet (on yes) (listen "{HOST}:{self.ports[name]}")\n'
+                             f'       (members {members}) {self._more})\n')
+            courier.write(len(names))
+
+    def __getitem__(self, name: str) -> FleetCourier:
+        return self.couriers[name]
+
+    def start(self) -> None:
+        """Start all, and wait until each holds all for alive."""
+        for courier in self.couriers.values():
+            courier.start()
+        self.wait("all know each other", *((name, (len(self.couriers), 0, 0, 0)) for name in self.couriers))
+
+    def wait(self, what: str, *wanted: tuple[str, tuple[int, int, int, int]]) -> float:
+        """Wait until members hold so many for alive, suspect, gone and left."""
+        return wait_for(what, lambda: all(self.couriers[name].members() == state for name, state in wanted))
+
+    def stop(self) -> None:
+        """End all."""
+        for courier in self.couriers.values():
+            if courier.process is not None:
+                courier.process.send_signal(signal.SIGCONT)
+                courier.kill()
--- a/winchspan/standins/fleet_world.py
+++ b/winchspan/standins/fleet_world.py
@@ -65,15 +65,14 @@
         self._armed: dict[str, float] = {}
 
     # ---- what the test does ------------------------------------------------------------------------------
-    def start(self, name: str, life: int = 0) -> Swim:
-        """Begin a life of a member; under its name another may run elsewhere."""
+    def start(self, name: str, life: int = 0) -> None:
+        """Begin a life of a member."""
         seat = self.seats[name]
         seat.lives += 1
         seat.frozen, seat.unread = False, None
         number = life or int(name[1:]) * 1_000 + seat.lives
         seat.swim = Swim(name, self.seats, number, self._rng.randrange(1 << 30), self.now, self.timing)
         self._arm(seat)
-        return seat.swim
 
     def start_all(self) -> None:
         """Begin all, each at a moment of its own within a period."""
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -6,6 +6,7 @@
 import errno
 import fcntl
 import os
+import secrets
 import selectors
 import socket
 from collections.abc import Mapping
@@ -122,6 +123,21 @@
         found.setblocking(False)
         return found
 
+    def datagrams(self, host: str, port: int) -> socket.socket:
+        """A UDP socket at an address; raises OSError."""
+        found = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            found.bind((host, port))
+        except OSError:
+            found.close()
+            raise
+        found.setblocking(False)
+        return found
+
+    def nonce(self) -> int:
+        """A random number over 0 that tells this process from others, below 2 to the 52nd."""
+        return secrets.randbits(51) + 1
+
     def listen(self, host: str, port: int) -> Listener:
         """Listen for clients at an address; raises OSError."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
