Add the agreement's machine and store: Raft without I/O, promises on disk before they are said

A store killed at each of its calls to the disk has what it was told is kept. Not yet wired into the daemon.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -1,4 +1,4 @@
-"""What a fleet's members cost, and how fast they see: `PYTHONPATH=. python benchmarks/owners.py`, five minutes.
+"""What a fleet's members cost, and how fast they see: `PYTHONPATH=. python benchmarks/owners.py`, 5 minutes.
 
 Real processes: time from SIGKILL until all others hold a courier for gone, and CPU and memory of an idle one
 with the fleet on and off. In virtual time: datagrams and bytes a member and second, and false suspicions.
--- /dev/null
+++ b/tests/test_agreement_store.py
@@ -0,0 +1,106 @@
+"""What an agreement has promised is on disk before it is said, whatever becomes of process and disk."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from pathlib import Path
+
+import pytest
+
+from tests.test_journal import Dying, Filling, Killed
+from winchspan.agreement.messages import Entry, Kept, Kind, Snapshot, Write
+from winchspan.agreement.store import Store, StoreError, applied
+
+MEMBERS = frozenset({"n0#1", "n1#2"})
+
+
+def writes(count: int) -> list[Write]:
+    """A life's worth: terms, votes, entries, entries taken back, snapshots."""
+    found = []
+    for n in range(1, count + 1):
+        kind = Kind.MEMBERS if n % 10 == 1 else Kind.COMMAND
+        entry = Entry(n, n, kind, b"\x00\n" * 200, MEMBERS if kind is Kind.MEMBERS else frozenset())
+        if n % 7 == 0:
+            found.append(Write(n, "n1#2", n, (entry,)))           # in another's place
+        elif n % 11 == 0:
+            found.append(Write(n, "", 0, (entry,)))
+            found.append(Write(n, "", 0, (), Snapshot(n, n, MEMBERS, b"state")))
+        else:
+            found.append(Write(n, "n0#1" if n % 2 else "", 0, (entry,)))
+    return found
+
+
+def test_all_that_was_written_is_there_in_the_next_life(tmp_path: Path):
+    store, kept = Store(tmp_path, "n0", 77), Kept()
+    for write in writes(300):
+        assert store.write(write)
+        kept = applied(kept, write)
+    assert store.kept == kept and store.me == "n0#4d"
+    store.close()
+    again = Store(tmp_path, "n0", 99)
+    assert (again.kept, again.birth) == (kept, 77), "its number is its folder's, not its process's"
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) < 120_000
+    again.close()
+
+
+def test_a_process_killed_at_any_call_to_its_disk_has_kept_what_it_was_told_is_kept(tmp_path: Path):
+    seen = set[str]()
+    for at in range(1, 1_000):
+        folder = tmp_path / str(at)
+        folder.mkdir()
+        disk, sure, doubt = Dying(at), Kept(), list[Kept]()
+        try:
+            store = Store(folder, "n0", 5, disk)
+            for write in writes(90):
+                doubt = [applied(sure, write)]
+                assert store.write(write)
+                sure, doubt = doubt[0], []
+        except Killed:
+            for fd in disk.files:
+                with contextlib.suppress(OSError):
+                    os.close(fd)
+        again = Store(folder, "n0", 6)
+        assert again.kept in [sure, *doubt]
+        assert again.birth == 5 or sure == Kept()
+        seen |= {path.name for path in folder.iterdir()}
+        again.close()
+        if disk.left > 0:
+            break
+    assert disk.left > 0 and seen == {"agreement.log", "agreement.log.2"}
+
+
+def test_a_full_disk_takes_nothing_and_what_is_owed_comes_first_afterwards(tmp_path: Path):
+    disk = Filling()
+    store = Store(tmp_path, "n0", 5, disk)
+    life = writes(6)
+    assert store.write(life[0])
+    disk.full = True
+    assert not store.write(life[1]) and not store.write(life[2]) and store.behind
+    assert store.kept == applied(Kept(), life[0])
+    disk.full = False
+    assert store.write(life[3]) and not store.behind
+    store.close()
+    kept = Kept()
+    for write in life[:4]:
+        kept = applied(kept, write)
+    assert Store(tmp_path, "n0", 6).kept == kept
+
+
+def test_a_log_over_its_bound_is_refused_and_not_forgotten(tmp_path: Path):
+    store = Store(tmp_path, "n0", 5, limit=40_000)
+    index = 0
+    while store.write(Write(1, "", 0, (Entry(index + 1, 1, Kind.COMMAND, bytes(1_000)),))):
+        index += 1
+    assert store.behind and 5 < index < 20
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) <= 40_000
+    store.close()
+    assert len(Store(tmp_path, "n0", 5).kept.entries) == index
+
+
+def test_the_folder_of_another_is_refused_and_an_empty_one_is_another_member(tmp_path: Path):
+    Store(tmp_path, "n1", 5).close()
+    with pytest.raises(StoreError, match="is the folder of 'n1', not of 'n0'"):
+        Store(tmp_path, "n0", 6)
+    (tmp_path / "empty").mkdir()
+    assert Store(tmp_path / "empty", "n1", 6).me != Store(tmp_path, "n1", 7).me
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -6,30 +6,27 @@
 When the file has grown, the open messages are written to a second one, and the first is removed; both
 together stay within the folder's limit.
 
-A file that was written anew begins with `{"t":"file","gen":N}` and says `{"t":"whole","gen":N}` behind the
-open messages: from there on it is the journal, and another of a lower number is what was left over. No file
-takes another's place by rename: on ext4 that writes the new one out first, in the middle of the loop's turn
-(up to 110 ms on a disk, against 0.2 ms for a removal; docs/measured/journal.md).
+A file that was written anew has a number and a mark behind the open messages (`records.py`): from there on
+it is the journal, and another of a lower number is what was left over. No file takes another's place by
+rename: on ext4 that writes the new one out first, in the middle of the loop's turn (up to 110 ms on a disk,
+against 0.2 ms for a removal; docs/measured/journal.md).
 """
 
 from __future__ import annotations
 
 import json
 import os
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
-from struct import Struct
 from typing import Any
-from zlib import crc32
 
 from loguru import logger
 
 from winchspan.clock import Clock
+from winchspan.records import current, head, record, records, whole
 from winchspan.system import Disk
 
-_HEAD = Struct("<II")
-_MAX_RECORD = 256 * 1024
 _FIT = 0.95               # part of the folder's limit that is used: files count in whole 512 bytes
 _TAKE = 0.80              # what is taken on leaves the rest for executions and ends
 _GARBAGE = 64 * 1024      # a file is written anew when this and more than its open records is dead
@@ -78,44 +75,7 @@
             fields |= {"notice": self.notice, "after": self.after_ms}
             if self.story is not None:
                 fields["story"] = self.story
-        return [_record({"t": "taken"} | fields, self.body)]
-
-
-def _record(fields: dict[str, Any], body: bytes = b"") -> bytes:
-    payload = json.dumps(fields, separators=(",", ":")).encode() + b"\n" + body
-    return _HEAD.pack(len(payload), crc32(payload)) + payload
-
-
-def _records(data: bytes) -> Iterator[tuple[bytes, bytes, int]]:
-    """The line, body and size of each record, up to the first that is broken."""
-    at = 0
-    while at + _HEAD.size <= len(data):
-        length, checksum = _HEAD.unpack_from(data, at)
-        payload = data[at + _HEAD.size:at + _HEAD.size + length]
-        if length > _MAX_RECORD or len(payload) < length or crc32(payload) != checksum:
-            return
-        line, _, body = payload.partition(b"\n")
-        yield line, body, _HEAD.size + length
-        at += _HEAD.size + length
-
-
-def _rank(path: Path) -> tuple[int, int]:
-    """How much a file is worth as the journal (2: whole, 1: broken, 0: none), and its number."""
-    try:
-        data = path.read_bytes()
-    except FileNotFoundError:
-        data = b""
-    if not data:
-        return 0, 0
-    found = 0
-    for line, _, _ in _records(data):
-        if not found and not line.startswith(b'{"t":"file"'):
-            return 2, 0
-        if line.startswith(b'{"t":"file"'):
-            found = int(json.loads(line)["gen"])
-        elif line == b'{"t":"whole","gen":%d}' % found:
-            return 2, found
-    return 1, -found
+        return [record({"t": "taken"} | fields, self.body)]
 
 
 class Journal:
@@ -136,7 +96,7 @@
         self._table = 0            # the one in force
         self.offline: list[str] = []   # names of endpoints left out by hand
         self.last_call = 0.0       # when the latest execution began, Unix ms; 0: none is known of
-        self._gen, self._path, other = self._current()
+        self._gen, self._path, other = current(*self._paths)
         self._disk.remove(other)   # written anew since, or not to its end
         self._disk.remove(folder / "messages.journal.new")      # an earlier version's
         self._fd = self._disk.open(self._path, os.O_RDWR | os.O_CREAT)
@@ -162,7 +122,7 @@
             clock.ahead += self.last_call - clock.lasting()
         if clock.boot:
             self._anchor = clock.boot, clock.ahead
-            self._owe(_record({"t": "clock", "boot": clock.boot, "ahead": clock.ahead}))
+            self._owe(record({"t": "clock", "boot": clock.boot, "ahead": clock.ahead}))
 
     @property
     def entries(self) -> Iterable[Entry]:
@@ -191,7 +151,7 @@
 
     def started(self, numbers: list[int], endpoint: str, zone: str, at: float) -> bool:
         """Record an execution of some messages in one call, before its bytes go out."""
-        if not self._append(_record({"t": "started", "n": numbers, "at": at, "to": endpoint, "zone": zone})):
+        if not self._append(record({"t": "started", "n": numbers, "at": at, "to": endpoint, "zone": zone})):
             return False
         self.last_call = at
         for number in numbers:
@@ -200,21 +160,21 @@
 
     def returned(self, numbers: list[int], may_have_run: bool) -> None:
         """Record that an execution is back, and whether it may have run."""
-        self._owe(_record({"t": "back", "n": numbers, "ran": may_have_run}))
+        self._owe(record({"t": "back", "n": numbers, "ran": may_have_run}))
         for number in numbers:
             self._apply_back(number, may_have_run)
 
     def notice(self, number: int, state: str, after_ms: int, story: dict[str, Any] | None = None) -> None:
         """Record the end that is owed to the platform; its story only where there is room for it."""
         fields: dict[str, Any] = {"t": "notice", "n": number, "state": state, "after": after_ms}
-        if story is None or not self._append(_record(fields | {"story": story})):
+        if story is None or not self._append(record(fields | {"story": story})):
             story = None
-            self._owe(_record(fields))
+            self._owe(record(fields))
         self._apply_notice(number, state, after_ms, story)
 
     def ended(self, numbers: list[int]) -> None:
         """Record that nothing more is owed for some messages."""
-        self._owe(_record({"t": "end", "n": numbers}))
+        self._owe(record({"t": "end", "n": numbers}))
         for number in numbers:
             self._apply_end(number)
 
@@ -226,7 +186,7 @@
             self._owe(self._classes(number))
 
     def _classes(self, number: int) -> bytes:
-        return _record({"t": "classes", "v": number, "rows": self.tables[number]})
+        return record({"t": "classes", "v": number, "rows": self.tables[number]})
 
     def by_hand(self, names: list[str]) -> None:
         """Record which endpoints are left out by hand, all of them."""
@@ -234,7 +194,7 @@
         self._owe(self._offline())
 
     def _offline(self) -> bytes:
-        return _record({"t": "offline", "names": self.offline})
+        return record({"t": "offline", "names": self.offline})
 
     def close(self) -> None:
         """Write what is owed, if there is room, and let go of the file."""
@@ -318,21 +278,11 @@
                 self._apply_end(number)
 
     # ---- the file ----------------------------------------------------------------------------------------
-    def _current(self) -> tuple[int, Path, Path]:
-        """The number and path of the file that is the journal, and the path of the one that is not.
-
-        That is the one of the higher number, if it is whole. Where a broken disk has left none that is, it is
-        the one of the lower number: the other was still being written.
-        """
-        first, second = self._paths
-        a, b = _rank(first), _rank(second)
-        return (abs(b[1]), second, first) if b > a else (abs(a[1]), first, second)
-
     def _recover(self) -> int:
         """Read the file up to its end or the first broken record, cut the rest, and return its size."""
         data = os.pread(self._fd, os.fstat(self._fd).st_size, 0)
         at = 0
-        for line, body, size in _records(data):
+        for line, body, size in records(data):
             try:
                 self._apply(json.loads(line), body, size)
             except (ValueError, KeyError, TypeError):
@@ -388,17 +338,17 @@
     def _rewrite(self) -> None:
         """Write the open messages to the other file, and remove this one once that is whole."""
         pieces = {e.number: b"".join(e.records()) for e in self.entries}
-        last = _record({"t": "last", "at": self.last_call}) if self.last_call else b""
+        last = record({"t": "last", "at": self.last_call}) if self.last_call else b""
         if self._anchor is not None:
-            last += _record({"t": "clock", "boot": self._anchor[0], "ahead": self._anchor[1]})
+            last += record({"t": "clock", "boot": self._anchor[0], "ahead": self._anchor[1]})
         needed = {entry.table for entry in self._entries.values()} | {self._table}
         for number in sorted(needed & self.tables.keys()):      # the one in force comes last
             last += self._classes(number)
         if self.offline:
             last += self._offline()
         gen = self._gen + 1
-        head, whole = _record({"t": "file", "gen": gen}), _record({"t": "whole", "gen": gen})
-        total = sum(len(piece) for piece in pieces.values()) + len(head) + len(last) + len(whole)
+        begins, ends = head(gen), whole(gen)
+        total = sum(len(piece) for piece in pieces.values()) + len(begins) + len(last) + len(ends)
         if total >= self._size or self._size + total > self._limit * _FIT:
             return
         new = self._paths[self._path == self._paths[0]]
@@ -408,7 +358,7 @@
             logger.error("journal: cannot write anew: {}", err)
             return
         try:
-            self._write(fd, b"".join([head, last, *pieces.values(), whole]))
+            self._write(fd, b"".join([begins, last, *pieces.values(), ends]))
         except OSError as err:
             logger.error("journal: cannot write anew: {}", err)
             os.close(fd)
