--- a/winchspan/agreement/store.py
+++ b/winchspan/agreement/store.py
@@ -1,4 +1,4 @@
-"""What a member of an agreement has promised, on its disk before it is said: term, vote, log, snapshot, birth.
+"""What a member of an agreement has promised, on disk before it is said: term, vote, log, snapshot, birth.
 
 Two files by turns, as the journal's (`records.py`): each `Write` of the machine is one record. A torn tail is
 cut: nothing that was said is in it, since it was said only once the write was over. A disk that is full, or a
