Add the machines of owners: duties under leases and epochs, proved over drifting clocks

Found on the way, by the argument written there: a restarted member must not vote for an election's time (its life before may just have heard the leader on whose majority leases rest), and a new leader's followers have not answered before they have.

Not yet wired into the daemon.

--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,7 +17,7 @@
     "winchspan.choice": 1, "winchspan.retune": 1, "winchspan.storms": 1, "winchspan": 1,
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
-    "winchspan.members": 1, "winchspan.agreement": 1, "winchspan.agreement.store": 2,
+    "winchspan.members": 1, "winchspan.owners": 1, "winchspan.agreement": 1, "winchspan.agreement.store": 2,
     "winchspan.records": 2,
     "winchspan.courier": 2, "winchspan.journal": 2,
     "winchspan.undelivered.store": 2, "winchspan.undelivered.keeper": 2, "winchspan.undelivered.resender": 2,
@@ -33,7 +33,7 @@
 }
 PURE = {module for module, number in FLOORS.items() if number == 1} | {"winchspan.interface"}
 PURE_MAY = {"__future__", "bisect", "collections", "collections.abc", "dataclasses", "enum", "heapq",
-            "itertools", "math", "random", "typing"}
+            "hashlib", "itertools", "json", "math", "random", "typing"}
 
 
 def floor(module: str) -> tuple[str, int]:
--- a/winchspan/agreement/raft.py
+++ b/winchspan/agreement/raft.py
@@ -62,7 +62,7 @@
 
     next: int
     match: int = 0
-    heard: float = 0.0        # sending of the latest heartbeat that it has answered
+    heard: float = float("-inf")  # sending of the latest heartbeat that it has answered
 
 
 class Raft:
@@ -88,7 +88,9 @@
         self._votes: set[str] = set()
         self._progress: dict[str, Progress] = {}
         self._round, self._rounds = 0, dict[int, float]()    # when each of the latest heartbeats was sent
-        self._heard = float("-inf")            # from a leader
+        # From a leader. A life before may have heard one a moment ago, and what it then promised still holds:
+        # leases rest on it that nobody votes for another within an election's time (owners/leases.py).
+        self._heard = now if kept.term else float("-inf")
         self._beat_at = 0.0
         self._expire_at = self._wait(now)
         self._out: list[Action] = []
@@ -126,6 +128,11 @@
         """When `tick` is due."""
         return min(self._beat_at, self._expire_at) if self.role is Role.LEADER else self._expire_at
 
+    def surely_leads(self, now: float) -> bool:
+        """Whether no other can have been elected by now, and all that was agreed before is known here."""
+        return (self.role is Role.LEADER and not self.muted and self._quorum(now)
+                and self._term_at(self.commit) == self.term)
+
     def tick(self, now: float) -> list[Action]:
         """Do what is due."""
         late = now - self.next_at
@@ -322,7 +329,7 @@
             del self._rounds[old]
         for name in sorted(self.members - {self.me}):
             if name not in self._progress:
-                self._progress[name] = Progress(self.last[0] + 1, heard=now)
+                self._progress[name] = Progress(self.last[0] + 1)
             self._feed(name, self._progress[name])
 
     def _feed(self, name: str, p: Progress) -> None:
--- /dev/null
+++ b/winchspan/owners/leases.py
@@ -0,0 +1,219 @@
+"""Leases: the owner's side, which looks at its clock before each act, and the leader's, which waits.
+
+A lease is a promise about clocks (Gray and Cheriton 1989): the leader gives a duty to another only once the
+lease that it last renewed is surely over. Renewals are in no log. Why that is safe across a change of leader:
+
+- A leader renews only while a majority has answered what it sent within an election's time, and only once an
+  entry of its own term is committed, so that its ledger is up to date (`Raft.surely_leads`).
+- Some member of that majority votes for the next leader, and no sooner than an election's time after it heard
+  the old one (4.2.3), or after it was started. So no renewal is later than the next leader's election, but
+  for the drift of two clocks over an election's time.
+- The next leader waits for a whole lease from its election before it gives away what another held.
+- Once it has proposed that a duty change hands, it does not renew what is to end by that.
+
+`drift` is the most that any clock gains or loses on true time, as a part of it. The owner counts its lease
+from when it *asked*, and shorter by both clocks' drift. Its clock must count the time that its machine
+sleeps.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from winchspan.owners.ledger import Assign, Grant, Ledger
+
+ASKS = 16                 # of an owner that may be unanswered; older ones count for nothing
+MOVES = 1                 # duties that change hands at once while their owners live
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Times in ms; the same at all members."""
+
+    lease: float = 900.0
+    drift: float = 0.01       # a hundred times what a quartz is allowed
+    election: float = 600.0   # the agreement's least, and twice that its most
+    settle: float = 3_000.0   # since the last change of who is there, before duties of living owners move
+
+    @property
+    def held(self) -> float:
+        """For how long an owner may act, from when it asked."""
+        return self.lease * (1.0 - self.drift) / (1.0 + self.drift)
+
+    @property
+    def after_election(self) -> float:
+        """How long a new leader waits for leases that another may have renewed."""
+        return (self.lease + 2.0 * self.drift * self.election) * (1.0 + self.drift)
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """An owner asks that its leases go on; `number` tells its asks apart."""
+
+    owner: str
+    life: int
+    number: int
+    duties: tuple[tuple[str, int], ...]       # with their epochs
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """The leader's answer: these go on."""
+
+    number: int
+    duties: tuple[tuple[str, int], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The leader asks an owner that lives to let go of a duty."""
+
+    duty: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class GaveUp:
+    """It has: nothing more is done under that epoch."""
+
+    duty: str
+    epoch: int
+
+
+class Leases:
+    """The owner's side."""
+
+    def __init__(self, me: str, life: int, timing: Timing) -> None:
+        self.me, self.life, self.timing = me, life, timing
+        self._until: dict[str, tuple[int, float]] = {}      # duty: epoch, and until when it may act
+        self._asked: dict[int, float] = {}
+        self._number = 0
+
+    def may(self, duty: str, now: float) -> int:
+        """The epoch under which it may act now; 0: it may not. To be asked right before each act."""
+        epoch, until = self._until.get(duty, (0, 0.0))
+        return epoch if now < until else 0
+
+    def left(self, duty: str, now: float) -> float:
+        """For how many ms it may still act."""
+        return max(0.0, self._until.get(duty, (0, 0.0))[1] - now)
+
+    def ask(self, now: float, ledger: Ledger) -> Ask | None:
+        """Ask for all duties that are this process's; None if none is."""
+        mine = tuple((duty, g.epoch) for duty, g in sorted(ledger.grants.items())
+                     if (g.owner, g.life) == (self.me, self.life))
+        self._until = {duty: held for duty, held in self._until.items() if (duty, held[0]) in mine}
+        if not mine:
+            return None
+        self._number += 1
+        self._asked[self._number] = now
+        self._asked.pop(self._number - ASKS, None)
+        return Ask(self.me, self.life, self._number, mine)
+
+    def renewed(self, r: Renewal) -> None:
+        """Hold what goes on, counted from when it was asked."""
+        asked = self._asked.get(r.number)
+        for duty, epoch in r.duties if asked is not None else ():
+            held, until = self._until.get(duty, (0, 0.0))
+            if asked is not None and epoch >= held:
+                self._until[duty] = epoch, max(asked + self.timing.held, until if epoch == held else 0.0)
+
+    def give_up(self, g: GiveUp) -> GaveUp:
+        """Let go of a duty, and of all asks that might bring it back."""
+        if self._until.get(g.duty, (0, 0.0))[0] <= g.epoch:
+            self._until.pop(g.duty, None)
+            self._asked.clear()
+        return GaveUp(g.duty, g.epoch)
+
+    def moved(self, duty: str, grant: Grant) -> None:
+        """The ledger has a later grant: an earlier one is over, whatever its clock says."""
+        if self._until.get(duty, (0, 0.0))[0] < grant.epoch:
+            self._until.pop(duty, None)
+
+
+def wished(duty: str, names: Mapping[str, int]) -> str:
+    """Whose a duty is to be: rendezvous hashing (Thaler and Ravishankar 1998), so that little moves."""
+    return max(names, key=lambda name: blake2b(f"{duty}\n{name}".encode(), digest_size=8).digest(),
+               default="")
+
+
+class Grants:
+    """The leader's side, from its election on."""
+
+    def __init__(self, now: float, duties: tuple[str, ...], timing: Timing) -> None:
+        """Begin to lead.
+
+        Args:
+            now: when the election was won.
+            duties: all that are to have an owner.
+            timing: the fleet's.
+        """
+        self.timing, self._duties = timing, duties
+        self._began = now
+        self._over: dict[tuple[str, int], float] = {}       # by duty and epoch, when its lease is surely over
+        self._moving: dict[str, int] = {}                   # duties that are asked for, with their epochs
+        self._closed: set[tuple[str, int]] = set()          # proposed to end: not renewed any more
+        self._there: dict[str, int] = {}
+        self._changed = now
+
+    def renew(self, now: float, ask: Ask, ledger: Ledger, leads: bool) -> Renewal | None:
+        """Let leases go on that are the asker's and not on their way to another, if it surely leads."""
+        if not leads:
+            return None
+        found = []
+        for duty, epoch in ask.duties:
+            open_ = self._moving.get(duty) != epoch and (duty, epoch) not in self._closed
+            if open_ and ledger.grants.get(duty) == Grant(ask.owner, ask.life, epoch):
+                self._over[duty, epoch] = now + self.timing.lease
+                found.append((duty, epoch))
+        return Renewal(ask.number, tuple(found))
+
+    def gave_up(self, now: float, g: GaveUp) -> None:
+        """An owner has let go."""
+        if self._moving.get(g.duty) == g.epoch:
+            self._over[g.duty, g.epoch] = now
+
+    def over_at(self, duty: str, epoch: int) -> float:
+        """When a lease is surely over."""
+        return self._over.get((duty, epoch), self._began + self.timing.after_election)
+
+    def plan(self, now: float, there: Mapping[str, int], ledger: Ledger) -> list[Assign | tuple[str, GiveUp]]:
+        """What is to be proposed, and whom to ask to let go.
+
+        Args:
+            now: the clock's reading.
+            there: who is there, with their processes' lives; nobody under whose name two speak.
+            ledger: as it is committed here.
+        """
+        self._closed = {(duty, epoch) for duty, epoch in self._closed
+                        if duty in ledger.grants and ledger.grants[duty].epoch == epoch}
+        self._over = {key: at for key, at in self._over.items()
+                      if key[0] in ledger.grants and ledger.grants[key[0]].epoch == key[1]}
+        if dict(there) != self._there:
+            self._there, self._changed = dict(there), now
+        found: list[Assign | tuple[str, GiveUp]] = []
+        if not there:
+            return found
+        for duty in self._duties:
+            grant, to = ledger.grants.get(duty), wished(duty, there)
+            if grant is None:
+                if now >= self._changed + self.timing.settle / 3.0:
+                    found.append(Assign(duty, to, there[to], 0))
+                continue
+            epoch, lives = grant.epoch, there.get(grant.owner) == grant.life
+            if self._moving.get(duty, epoch) != epoch:
+                del self._moving[duty]                      # it has moved
+            if lives and grant.owner == to:
+                continue
+            if not lives or duty in self._moving:
+                if now >= self.over_at(duty, epoch):
+                    self._closed.add((duty, epoch))
+                    found.append(Assign(duty, to, there[to], epoch))
+                elif lives:
+                    found.append((grant.owner, GiveUp(duty, epoch)))      # it may have been lost
+            elif len(self._moving) < MOVES and now >= self._changed + self.timing.settle:
+                self._moving[duty] = epoch
+                found.append((grant.owner, GiveUp(duty, epoch)))
+        return found
--- a/winchspan/standins/agreement_world.py
+++ b/winchspan/standins/agreement_world.py
@@ -42,6 +42,7 @@
     owed: list[Write] = field(default_factory=list)   # what its full disk has not taken
     commands: list[bytes] = field(default_factory=list)   # as this process has heard them agreed
     armed: float = -1.0
+    rate: float = 1.0         # of its clock: seconds in a true second
 
 
 class AgreementWorld:
@@ -72,13 +73,18 @@
             self.start(name)
         first = self.places[names[0]]
         assert first.raft is not None
-        self.carry_out(first, first.raft.found(self.now, frozenset(names)))
+        self.carry_out(first, first.raft.found(self.local(first), frozenset(names)))
+
+    def local(self, place: Place) -> float:
+        """What its clock reads."""
+        return self.now * place.rate
 
     # ---- what the test does ------------------------------------------------------------------------------
     def start(self, name: str) -> None:
         """Begin a life with what the disk holds; a name that is new has an empty one."""
         place = self.places.setdefault(name, Place(name))
-        place.raft = Raft(name, place.kept, self.rng.randrange(1 << 30), self.now, self.timing)
+        place.raft = Raft(name, place.kept, self.rng.randrange(1 << 30), self.local(place),
+                          self.timing)
         place.unread, place.armed, place.commands, place.owed = None, -1.0, [], []
         self._arm(place)
 
@@ -106,7 +112,7 @@
             for write in place.owed:
                 place.kept = applied(place.kept, write)
             place.owed.clear()
-            self.carry_out(place, place.raft.mute(self.now, False))
+            self.carry_out(place, place.raft.mute(self.local(place), False))
 
     def split(self, names: set[str]) -> None:
         """Cut some from the rest, both ways."""
@@ -116,7 +122,7 @@
         """Ask whoever thinks that it leads; the index, or 0."""
         for place in self.places.values():
             if place.raft is not None and place.raft.role is Role.LEADER and place.unread is None:
-                index, actions = place.raft.propose(self.now, data)
+                index, actions = place.raft.propose(self.local(place), data)
                 self.carry_out(place, actions)
                 if index:
                     return index
@@ -127,7 +133,7 @@
         place = self.leader()
         if place is None or place.raft is None:
             return 0
-        index, actions = place.raft.change(self.now, members)
+        index, actions = place.raft.change(self.local(place), members)
         self.carry_out(place, actions)
         return index
 
@@ -170,7 +176,7 @@
     def _arm(self, place: Place) -> None:
         if place.raft is None or place.unread is not None:
             return
-        at = max(self.now, place.raft.next_at)
+        at = max(self.now, place.raft.next_at / place.rate)
         if not self.now < place.armed <= at:
             place.armed = at
             self._later(at - self.now, lambda raft=place.raft: self._tick(place, raft))  # type: ignore[misc]
@@ -178,8 +184,8 @@
     def _tick(self, place: Place, raft: Raft) -> None:
         if place.raft is raft and place.unread is None:
             place.armed = -1.0
-            if raft.next_at <= self.now:
-                self.carry_out(place, raft.tick(self.now))
+            if raft.next_at <= self.local(place) + 1e-6:
+                self.carry_out(place, raft.tick(max(raft.next_at, self.local(place))))
             self._arm(place)
 
     def _later(self, ms: float, action: Callable[[], None]) -> None:
@@ -217,7 +223,7 @@
         if place.full and place.raft is not None:
             place.owed.append(write)
             if not place.raft.muted:
-                self.carry_out(place, place.raft.mute(self.now, True))
+                self.carry_out(place, place.raft.mute(self.local(place), True))
         elif self.write_first or write.entries or write.cut or write.snapshot is not None:
             place.kept = applied(place.kept, write)
 
@@ -245,4 +251,4 @@
 
     def _read(self, place: Place, source: str, message: Message) -> None:
         if place.raft is not None:
-            self.carry_out(place, place.raft.received(self.now, source, message))
+            self.carry_out(place, place.raft.received(self.local(place), source, message))
