Run the agreement and the owners in couriers: duties of a fleet, each one courier's at a time

Nothing in the courier rests on a duty yet; operators name them, and figures and status say whose each is, under which epoch.

Leases and votes go by a clock that counts the machine's sleep. Without `duties` none of it is imported.

--- a/winchspan/clock.py
+++ b/winchspan/clock.py
@@ -37,6 +37,12 @@
         """Milliseconds that only move forward; comparable within one process."""
         return time.monotonic() * 1_000.0
 
+    def through_sleep(self) -> float:
+        """Milliseconds that only move forward, the time that the machine sleeps among them: for leases."""
+        if hasattr(time, "CLOCK_BOOTTIME"):
+            return time.clock_gettime(time.CLOCK_BOOTTIME) * 1_000.0
+        return self.now()
+
     def unix(self) -> float:
         """Unix time in milliseconds, as the system's wall clock has it at this moment."""
         return time.time() * 1_000.0
@@ -66,6 +72,10 @@
         """The reading last set."""
         return self._now
 
+    def through_sleep(self) -> float:
+        """As `now`."""
+        return self._now
+
     def unix(self) -> float:
         """Unix time, moved along with the reading."""
         return self._unix
--- /dev/null
+++ b/winchspan/council.py
@@ -0,0 +1,270 @@
+"""Agreement and owners as they run in a courier: machines, store, link, log and figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from winchspan.agreement.founding import Founding, name_of
+from winchspan.agreement.messages import (
+    Action,
+    Append,
+    Appended,
+    Commit,
+    Install,
+    Leads,
+    Message,
+    Restore,
+    Send,
+    Vote,
+    VoteWish,
+    Write,
+)
+from winchspan.agreement.raft import Raft, Role
+from winchspan.agreement.store import Store
+from winchspan.config import Address
+from winchspan.deadlines import Deadline
+from winchspan.net.fleet_stream import FleetStreams
+from winchspan.owners.leases import Ask, GaveUp, GiveUp, Grants, Leases, Renewal, Timing
+from winchspan.owners.ledger import Assign, Ledger
+
+if TYPE_CHECKING:
+    from winchspan.daemon import Daemon
+
+BEAT = 150.0              # ms between two rounds of asking, planning and saying who is here
+CATCH_UP = 50.0           # ms between two tries to write what a full disk did not take
+FOLD = 200                # committed entries after which a snapshot stands for them
+_KINDS: dict[str, type[Any]] = {
+    "vote-wish": VoteWish, "vote": Vote, "append": Append, "appended": Appended, "install": Install,
+    "ask": Ask, "renewal": Renewal, "give-up": GiveUp, "gave-up": GaveUp}
+_NAMES = {of: kind for kind, of in _KINDS.items()}
+_READERS = {kind: msgspec.msgpack.Decoder(of) for kind, of in _KINDS.items()}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class _Here(msgspec.Struct):
+    """Which folder a member has, and whether it has never been in an agreement."""
+
+    member: str
+    empty: bool
+
+
+class _Said(msgspec.Struct):
+    """A message from one member to another, each by its name and the number of its folder."""
+
+    source: str
+    to: str
+    what: msgspec.Raw
+
+
+_HERE, _SAID = msgspec.msgpack.Decoder(_Here), msgspec.msgpack.Decoder(_Said)
+
+
+class Council:
+    """This courier's seat among those who agree."""
+
+    def __init__(self, daemon: Daemon, members: Mapping[str, Address], duties: tuple[str, ...], secret: bytes,
+                 life: int, there: Callable[[], dict[str, int]]) -> None:
+        """Take the seat; raises StoreError and OSError.
+
+        Args:
+            daemon: the courier.
+            members: addresses by name.
+            duties: that are to have an owner.
+            secret: of the fleet's frames.
+            life: this process's number, as its members know it.
+            there: who is there, by name with their processes' numbers, this one among them.
+        """
+        self._daemon, self._duties, self._there, self._life = daemon, duties, there, life
+        self._name, self._timing = daemon.config.name, Timing()
+        self._store = Store(daemon.config.state, self._name, daemon.system.nonce(), daemon.system.disk)
+        self.raft = Raft(self._store.me, self._store.kept, daemon.config.seed ^ life, self._now())
+        self.ledger, self.leases = Ledger(), Leases(self._name, life, self._timing)
+        self.ledger.restore(self._store.kept.snapshot.data)
+        self._grants: Grants | None = None
+        self._founding = Founding(self._store.me, members)
+        self._timer_at, self._closed = float("inf"), False
+        self._timer: Deadline | None = None
+        self._streams = FleetStreams(self._name, members, secret, self._got, lambda name: self._here(name),
+                                     lambda ms, call: daemon.deadlines.after(ms, call))
+
+    def _now(self) -> float:
+        return self._daemon.clock.through_sleep()
+
+    def start(self) -> None:
+        """Begin to listen, to dial and to agree; raises OSError."""
+        own = self._streams.members[self._name]
+        self._streams.open(self._daemon.loop, self._daemon.system.listen(own.host, own.port))
+        logger.info("fleet: this courier's folder is {}", self._store.me)
+        self._beat()
+        self._arm()
+
+    def may(self, duty: str) -> int:
+        """The epoch under which this courier may do a duty at this moment; 0: it may not."""
+        return self.leases.may(duty, self._now())
+
+    def reread(self, members: Mapping[str, Address]) -> None:
+        """Others are members now."""
+        self._streams.members = members
+        self._founding.names = set(members)
+
+    def close(self) -> None:
+        """Leave the seat."""
+        self._closed = True
+        self._streams.close()
+        self._store.close()
+
+    # ---- figures -----------------------------------------------------------------------------------------
+    def status(self) -> dict[str, Any]:
+        """The agreement and the duties, for people."""
+        now = self._now()
+        duties = {}
+        for duty in self._duties:
+            grant = self.ledger.grants.get(duty)
+            duties[duty] = {"owner": grant.owner if grant else "", "epoch": grant.epoch if grant else 0,
+                            "mine_for_s": round(self.leases.left(duty, now) / 1_000.0, 2)}
+        return {"agreement": {"member": self._store.me, "role": self.raft.role.value,
+                              "leader": self.raft.leader, "term": self.raft.term,
+                              "committed": self.raft.commit, "voters": sorted(self.raft.members), "disk_behind": self._store.behind},
+                "duties": duties}
+
+    def figures(self) -> dict[str, int]:
+        """Term, whether it leads, what is committed, and the epoch of each duty that it may do now."""
+        found = {"fleet.agreement.term": self.raft.term, "fleet.agreement.committed": self.raft.commit,
+                 "fleet.agreement.leads": int(self.raft.role is Role.LEADER),
+                 "fleet.agreement.voters": len(self.raft.members),
+                 "fleet.agreement.behind": int(self._store.behind)}
+        found |= {f"fleet.duty.{duty}": self.may(duty) for duty in self._duties}
+        return found | {f"fleet.dropped.{c.replace(' ', '_')}": n for c, n in self._streams.dropped.items()}
+
+    # ---- what comes --------------------------------------------------------------------------------------
+    def _got(self, name: str, kind: str, body: bytes) -> None:
+        try:
+            if kind == "here":
+                here = _HERE.decode(body)
+                if name_of(here.member) == name:
+                    self._founding.here(here.member, here.empty)
+                return
+            reader = _READERS.get(kind)
+            said = _SAID.decode(body)
+            if reader is None or name_of(said.source) != name or said.to != self._store.me:
+                self._streams.dropped["meant for another" if reader is not None else "unknown kind"] += 1
+                return
+            what = reader.decode(said.what)
+        except (msgspec.DecodeError, RecursionError):
+            self._streams.dropped["not readable"] += 1
+            return
+        now = self._now()
+        if isinstance(what, Ask):
+            if self._grants is not None and what.owner == name:
+                renewal = self._grants.renew(now, what, self.ledger, self.raft.surely_leads(now))
+                if renewal is not None:
+                    self._say(said.source, renewal)
+        elif isinstance(what, Renewal):
+            self.leases.renewed(what)
+        elif isinstance(what, GiveUp):
+            self._say(said.source, self.leases.give_up(what))
+        elif isinstance(what, GaveUp):
+            if self._grants is not None:
+                self._grants.gave_up(now, what)
+        else:
+            self._carry_out(self.raft.received(now, said.source, what))
+
+    def _say(self, to: str, what: Message | Ask | Renewal | GiveUp | GaveUp) -> None:
+        if to == self._store.me:                       # a leader's own duties
+            now = self._now()
+            if isinstance(what, Ask) and self._grants is not None:
+                renewal = self._grants.renew(now, what, self.ledger, self.raft.surely_leads(now))
+                if renewal is not None:
+                    self.leases.renewed(renewal)
+            elif isinstance(what, GiveUp) and self._grants is not None:
+                self._grants.gave_up(now, self.leases.give_up(what))
+            return
+        body = _ENCODER.encode(_Said(self._store.me, to, msgspec.Raw(_ENCODER.encode(what))))
+        self._streams.say(name_of(to), _NAMES[type(what)], body)
+
+    def _here(self, name: str) -> None:
+        empty = not self.raft.last[0] and not self.raft.term
+        self._streams.say(name, "here", _ENCODER.encode(_Here(self._store.me, empty)))
+
+    # ---- what is due -------------------------------------------------------------------------------------
+    def _beat(self) -> None:
+        if self._closed:
+            return
+        self._daemon.deadlines.after(BEAT, self._beat)
+        now, there = self._now(), self._there()
+        for name in self._streams.members:
+            self._here(name)
+        empty = not self.raft.last[0] and not self.raft.term
+        if (members := self._founding.begins(empty)):
+            logger.info("fleet: begins an agreement of {}", ", ".join(sorted(members)))
+            self._carry_out(self.raft.found(now, members))
+        if (ask := self.leases.ask(now, self.ledger)) is not None and self.raft.leader:
+            self._say(self.raft.leader, ask)
+        if self._grants is None or not self.raft.surely_leads(now):
+            return
+        wanted = self._founding.change(self.raft.members, there)
+        if wanted is not None:
+            index, actions = self.raft.change(now, wanted)
+            if index:
+                logger.info("fleet: asks that these agree: {}", ", ".join(sorted(wanted)))
+            self._carry_out(actions)
+        voters = {name_of(member): member for member in self.raft.members}
+        able = {name: life for name, life in there.items() if name in voters}
+        for step in self._grants.plan(now, able, self.ledger):
+            if isinstance(step, Assign):
+                self._carry_out(self.raft.propose(now, step.data())[1])
+            elif step[0] in voters:
+                self._say(voters[step[0]], step[1])
+
+    def _tick(self) -> None:
+        self._timer, self._timer_at = None, float("inf")
+        if not self._closed:
+            self._carry_out(self.raft.tick(self._now()))
+
+    def _arm(self) -> None:
+        if not self._closed and self.raft.next_at < self._timer_at:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer_at = self.raft.next_at
+            self._timer = self._daemon.deadlines.after(max(0.0, self._timer_at - self._now()), self._tick)
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        """Do what the machine wants, in its order: nothing is said that is not on disk."""
+        for action in actions:
+            match action:
+                case Write():
+                    if not self._store.write(action) and not self.raft.muted:
+                        logger.error("fleet: the disk takes nothing: until it does, nothing is promised")
+                        self._carry_out(self.raft.mute(self._now(), True))
+                        self._daemon.deadlines.after(CATCH_UP, self._catch_up)
+                case Send(to, message):
+                    if not self._store.behind:
+                        self._say(to, message)
+                case Commit(entry):
+                    duty = self.ledger.apply(entry.index, entry.data)
+                    if duty:
+                        grant = self.ledger.grants[duty]
+                        self.leases.moved(duty, grant)
+                        logger.info("fleet: {} is {}'s, epoch {}", duty, grant.owner, grant.epoch)
+                case Restore(snapshot):
+                    self.ledger.restore(snapshot.data)
+                case Leads(leader, term, why):
+                    mine = leader == self._store.me
+                    self._grants = Grants(self._now(), self._duties, self._timing) if mine else None
+                    logger.info("fleet: {} leads in term {}: {}", leader or "nobody", term, why)
+        if self.raft.commit - self.raft.snapshot.index > FOLD and not self._store.behind:
+            self._carry_out(self.raft.compact(self.raft.commit, self.ledger.data()))
+        self._arm()
+
+    def _catch_up(self) -> None:
+        if self._closed:
+            return
+        if self._store.catch_up():
+            logger.info("fleet: the disk takes what is promised again")
+            self._carry_out(self.raft.mute(self._now(), False))
+        else:
+            self._daemon.deadlines.after(CATCH_UP, self._catch_up)
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -54,6 +54,10 @@
         """Milliseconds that only move forward."""
         return self._loop.ns / 1e6 * self.rate
 
+    def through_sleep(self) -> float:
+        """As `now`: emulated machines do not sleep."""
+        return self.now()
+
     def unix(self) -> float:
         """Wall time in ms."""
         return UNIX + self.now() + self._wrong
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -10,7 +10,7 @@
 
 from winchspan.config import Address, ConfigError
 from winchspan.deadlines import Deadline
-from winchspan.members.messages import Datagram
+from winchspan.members.messages import Datagram, State
 from winchspan.members.swim import Action, Changed, Conflict, Restarted, Send, Swim, Timing
 from winchspan.net.fleet_link import FleetLink
 from winchspan.operator.schema import place_of
@@ -18,6 +18,7 @@
 from winchspan.part import Operator, Part
 
 if TYPE_CHECKING:
+    from winchspan.council import Council
     from winchspan.daemon import Daemon
 
 
@@ -37,14 +38,25 @@
         except OSError as err:
             raise ConfigError(f"{place_of(values, 'listen')}: fleet.listen: {own}: {err.strerror}") from None
         timing = Timing(values["period"] * 1_000.0, values["answer"] * 1_000.0, values["suspicion"])
-        self._swim = Swim(daemon.config.name, members, daemon.system.nonce(), daemon.config.seed,
-                          daemon.clock.now(), timing)
+        life = daemon.system.nonce()
+        self._swim = Swim(daemon.config.name, members, life, daemon.config.seed, daemon.clock.now(), timing)
+        self._council: Council | None = None
+        if values["duties"]:
+            from winchspan.agreement.store import StoreError
+            from winchspan.council import Council
+
+            try:
+                self._council = Council(daemon, members, values["duties"], secret, life, self._there)
+            except StoreError as err:
+                raise ConfigError(f"{place_of(values, 'duties')}: fleet.duties: {err}") from None
         self._link = FleetLink(members, secret, self._got)
         self._timer: Deadline | None = None
 
     async def start(self) -> None:
         """Begin to listen and to ping."""
         await self._link.open(self._daemon.loop, self._socket)
+        if self._council is not None:
+            self._council.start()
         self._tick()
 
     def reread(self, operator: Operator) -> None:
@@ -56,6 +68,8 @@
         if members[self._daemon.config.name] != self._link.members[self._daemon.config.name]:
             raise ConfigError(f"{place_of(values, 'listen')}: fleet.listen: can be changed at a start only")
         self._link.members = members
+        if self._council is not None:
+            self._council.reread(members)
         self._carry_out(self._swim.reconfigure(self._daemon.clock.now(), members))
 
     def stop(self) -> bool:
@@ -71,13 +85,16 @@
                           "conflict": r.conflict} for name, r in self._swim.records.items()}
         return {"fleet": {"incarnation": self._swim.incarnation, "health": self._swim.sick,
                           "conflict": self._swim.conflict, "members": members,
-                          "dropped": dict(self._link.dropped + self._swim.dropped)}}
+                          "dropped": dict(self._link.dropped + self._swim.dropped)}
+                | (self._council.status() if self._council is not None else {})}
 
     def figures(self) -> dict[str, int]:
         """Members by state, this courier among them, its own health, and frames dropped by cause."""
         found = {f"fleet.members.{state}": n for state, n in self._swim.counts().items()}
         found |= {"fleet.health": self._swim.sick, "fleet.frames.sent": self._link.sent,
                   "fleet.frames.received": self._link.received}
+        if self._council is not None:
+            found |= self._council.figures()
         dropped = self._link.dropped + self._swim.dropped
         return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in dropped.items()}
 
@@ -86,8 +103,18 @@
         if self._timer is not None:
             self._timer.cancel()
         self._link.close()
+        if self._council is not None:
+            self._council.close()
         self._socket.close()
 
+    def _there(self) -> dict[str, int]:
+        """Who is there, and no name under which two processes speak."""
+        found = {name: r.life for name, r in self._swim.records.items()
+                 if r.state in (State.ALIVE, State.SUSPECT) and not r.conflict}
+        if not self._swim.conflict and not self._swim.leaving:
+            found[self._swim.me] = self._swim.life
+        return found
+
     def _got(self, datagram: Datagram) -> None:
         self._carry_out(self._swim.received(self._daemon.clock.now(), datagram))
 
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -118,6 +118,9 @@
             yield "listen", f"{values['listen']} is the address of no member"
     except ValueError as err:
         yield "listen", str(err)
+    for name in values["duties"]:
+        if not MEMBER.fullmatch(name):
+            yield "duties", f"expected names of up to 64 letters, digits, - and _, not {name!r:.80}"
     if values["answer"] * 3 > values["period"]:
         yield "answer", (f"must be a third of fleet.period, {values['period']:g} s, at most, not "
                          f"{values['answer']:g} s: others are asked within the period")
@@ -135,6 +138,7 @@
     Key("answer", float, 0.08, "for its answer, before others are asked to ping it", "s", 0.01, 20),
     Key("suspicion", float, 4.0, "least time that a member is suspected, times log10 of the fleet's size",
         "periods", 1, 1_000),
+    Key("duties", tuple, (), "names of duties, each of which is one courier's at a time", of=str),
 ), rule=_fleet)
 
 SECTIONS = (STORMS, UNDELIVERED, RESEND, CONTROL, FLEET)
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -95,6 +95,11 @@
         pairs = (line.partition("|")[0].rpartition(":") for line in lines)
         return {name.removeprefix("courier."): int(value) for name, _, value in pairs}
 
+    def duties(self) -> dict[str, int]:
+        """The duties that it may do at this moment, with their epochs."""
+        return {name.removeprefix("fleet.duty."): epoch for name, epoch in self.figures().items()
+                if name.startswith("fleet.duty.") and epoch}
+
     def members(self) -> tuple[int, int, int, int]:
         """How many members it holds for alive, suspect, gone and left; zeros if it does not answer."""
         found = self.figures()
