--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -128,7 +128,8 @@
                             "mine_for_s": round(self.leases.left(duty, now) / 1_000.0, 2)}
         return {"agreement": {"member": self._store.me, "role": self.raft.role.value,
                               "leader": self.raft.leader, "term": self.raft.term,
-                              "committed": self.raft.commit, "voters": sorted(self.raft.members), "disk_behind": self._store.behind},
+                              "committed": self.raft.commit, "voters": sorted(self.raft.members),
+                              "disk_behind": self._store.behind},
                 "duties": duties}
 
     def figures(self) -> dict[str, int]:
