--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -130,10 +130,13 @@
     assert len(courier.log().splitlines()) == 1 and told in courier.log(), courier.log()
 
 
-def test_a_port_that_is_taken_ends_the_start_with_one_line(tmp_path: Path):
-    fleet = Fleet(tmp_path, 3)
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+@pytest.mark.parametrize("kind", [socket.SOCK_DGRAM, socket.SOCK_STREAM])
+def test_a_port_that_is_taken_ends_the_start_with_one_line(tmp_path: Path, kind: int):
+    fleet = Fleet(tmp_path, 3, '(duties "one")')
+    with socket.socket(socket.AF_INET, kind) as other:
         other.bind((HOST, fleet.ports["n0"]))
+        if kind == socket.SOCK_STREAM:
+            other.listen()
         fleet["n0"].start()
         process = fleet["n0"].process
         assert process is not None and process.wait(60.0) == 2
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -56,7 +56,12 @@
         """Begin to listen and to ping."""
         await self._link.open(self._daemon.loop, self._socket)
         if self._council is not None:
-            self._council.start()
+            try:
+                self._council.start()
+            except OSError as err:
+                where = place_of(self._daemon.wishes.operator["fleet"], "listen")
+                raise ConfigError(f"{where}: fleet.listen: {self._link.members[self._swim.me]}, TCP: "
+                                  f"{err.strerror}") from None
         self._tick()
 
     def reread(self, operator: Operator) -> None:
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,17 +19,27 @@
 
 HOST = "127.0.0.1"
 PATIENCE = 60.0           # s: far more than anything takes; no verdict hangs on it
+PORTS = 20_000, 32_000    # from which ports are drawn
 LOOK = 0.02               # s between two looks at a state that is waited for
 
 
-def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
-    """Ports that were free a moment ago, each another."""
-    probes = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for probe in probes:
-        probe.bind((HOST, 0))
-    found = [int(probe.getsockname()[1]) for probe in probes]
-    for probe in probes:
-        probe.close()
+def free_ports(count: int) -> list[int]:
+    """Ports that were free a moment ago, TCP and UDP, each another.
+
+    They lie below those that the system gives to connections that are opened: else any program's connection
+    could take one before it is listened on.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*PORTS)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((HOST, port))
+        except OSError:
+            continue
+        if port not in found:
+            found.append(port)
     return found
 
 
@@ -113,7 +124,7 @@
 
     def __init__(self, folder: Path, size: int, more: str = "") -> None:
         """Write all files; nobody runs yet. `more` stands in each section `fleet`."""
-        ports = free_ports(size, socket.SOCK_DGRAM)
+        ports = free_ports(size)
         self.ports = {f"n{number}": port for number, port in enumerate(ports)}
         self.couriers = {name: FleetCourier(folder / name, name) for name in self.ports}
         self._more = more
@@ -138,7 +149,11 @@
 
     def wait(self, what: str, *wanted: tuple[str, tuple[int, int, int, int]]) -> float:
         """Wait until members hold so many for alive, suspect, gone and left."""
-        return wait_for(what, lambda: all(self.couriers[name].members() == state for name, state in wanted))
+        def so() -> bool:
+            for courier in self.couriers.values():
+                assert courier.process is None or courier.process.poll() in (None, 0), courier.log()[-300:]
+            return all(self.couriers[name].members() == state for name, state in wanted)
+        return wait_for(what, so)
 
     def stop(self) -> None:
         """End all."""
