--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -16,7 +16,7 @@
 
 from winchspan.members.messages import State
 from winchspan.net.fleet_link import encode
-from winchspan.standins.couriers import Fleet, FleetCourier
+from winchspan.standins.couriers import Fleet, FleetCourier, wait_for
 from winchspan.standins.fleet_world import World
 
 IDLE = 20.0               # s over which an idle courier is measured
@@ -58,10 +58,41 @@
           f"the median, {max(took):.2f} s at most")
 
 
+def takeovers(rounds: int) -> None:
+    """Kill the owner of a duty, and say how long it takes until another may do it."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), 3, '(duties "one" "two" "three" "four" "five" "six")')
+        took = list[float]()
+        try:
+            fleet.start()
+            for number in range(rounds):
+                duty = ("one", "two", "three", "four", "five", "six")[number % 6]
+                who = list[tuple[str, int]]()
+
+                def owned(duty: str = duty, who: list[tuple[str, int]] = who) -> bool:
+                    who[:] = [(name, epoch) for name, courier in fleet.couriers.items()
+                              if courier.process is not None and (epoch := courier.duties().get(duty, 0))]
+                    return len(who) == 1
+                wait_for("the duty has an owner", owned)
+                name, epoch = who[0]
+                begun = time.monotonic()
+                fleet[name].kill()
+                wait_for("the duty has another owner", owned)
+                took.append(time.monotonic() - begun)
+                assert who[0][0] != name and who[0][1] > epoch
+                fleet[name].start()
+                fleet.wait("all are there", *((other, (3, 0, 0, 0)) for other in fleet.couriers))
+        finally:
+            fleet.stop()
+    ranks = sorted(took)
+    print(f"3 processes, {rounds} owners killed: another may act after {statistics.median(took):.2f} s in "
+          f"the median, {ranks[int(0.99 * len(ranks))]:.2f} s at p99")
+
+
 def idle(on: bool) -> None:
     """What an idle courier costs."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(Path(folder), 3)
+        fleet = Fleet(Path(folder), 3, '(duties "one" "two" "three")' if on else "")
         try:
             if on:
                 fleet.start()
@@ -124,6 +155,7 @@
         idle(on)
     for size in (3, 5):
         kills(size, rounds)
+    takeovers(rounds)
 
 
 if __name__ == "__main__":
