Test founding, pre-votes and check-quorum by their mutations, and end test couriers with their parent

Change: tests of founding and admission; without pre-votes a follower that was cut off raises its term, without check-quorum a leader that hears nobody goes on; test couriers get SIGTERM when their parent dies.

--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -258,3 +258,55 @@
     world = led()
     world.run(500.0)
     assert [e.kind for e in list(world.agreed.values())[:2]] == [Kind.MEMBERS, Kind.NOTHING]
+
+
+@pytest.mark.parametrize("pre_votes", [True, False])
+def test_a_follower_that_was_cut_off_raises_no_term_thanks_to_pre_votes(monkeypatch: pytest.MonkeyPatch,
+                                                                        pre_votes: bool):
+    if not pre_votes:
+        campaign = Raft._campaign
+        monkeypatch.setattr(Raft, "_campaign", lambda self, now, pre: campaign(self, now, False))
+    world = led()
+    leader = world.leader()
+    cut = next(place for place in world.places.values() if place is not leader)
+    assert leader is not None and leader.raft is not None and cut.raft is not None
+    world.split({cut.name})
+    world.run(20_000.0)
+    assert (cut.raft.term == leader.raft.term) is pre_votes
+
+
+@pytest.mark.parametrize("checked", [True, False])
+def test_a_leader_that_hears_nobody_steps_down_thanks_to_check_quorum(monkeypatch: pytest.MonkeyPatch,
+                                                                     checked: bool):
+    if not checked:
+        monkeypatch.setattr(Raft, "_quorum", lambda self, now: True)
+    world = led()
+    leader = world.leader()
+    assert leader is not None and leader.raft is not None
+    world.split({leader.name})
+    world.run(5_000.0)
+    assert (leader.raft.role is Role.LEADER) is not checked
+
+
+def test_founding_waits_for_all_and_happens_once():
+    from winchspan.agreement.founding import Founding
+
+    first, other = Founding("n0#a", ["n0", "n1", "n2"]), Founding("n1#b", ["n0", "n1", "n2"])
+    first.here("n1#b", True)
+    assert first.begins(True) == frozenset(), "one is not there"
+    first.here("n2#c", True)
+    first.here("n9#d", True)                      # nobody that the file names
+    assert first.begins(True) == {"n0#a", "n1#b", "n2#c"} and first.begins(False) == frozenset()
+    other.here("n0#a", True)
+    other.here("n2#c", True)
+    assert other.begins(True) == frozenset(), "the least name begins"
+    first.here("n2#e", True)
+    first.here("n1#b", False)
+    assert first.begins(True) == frozenset(), "one has been in an agreement"
+    members = frozenset({"n0#a", "n1#b", "n2#c"})
+    assert first.change(members, ["n1"]) is None, "who is not there is not asked out for another folder"
+    out = first.change(members, ["n1", "n2"])
+    assert out == {"n0#a", "n1#b"}
+    assert first.change(out, ["n1", "n2"]) == {"n0#a", "n1#b", "n2#e"}
+    first.names = {"n0", "n1"}
+    assert first.change(members, ["n1"]) == {"n0#a", "n1#b"}, "the file names it no more"
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 from winchspan.standins.platform import platform, wire
+from winchspan.standins.rehearsal import ends_with_its_parent
 
 HOST = "127.0.0.1"
 PATIENCE = 60.0           # s: far more than anything takes; no verdict hangs on it
@@ -77,7 +78,7 @@
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "winchspan", "--operator", str(self.folder / "operator.sexp")],
-                env=env, stderr=log, stdout=log)
+                env=env, stderr=log, stdout=log, preexec_fn=ends_with_its_parent)
 
     def signal(self, number: int) -> None:
         """Send it a signal."""
--- a/winchspan/standins/rehearsal.py
+++ b/winchspan/standins/rehearsal.py
@@ -40,7 +40,7 @@
     """A courier could not be started, or has crashed; the message says which."""
 
 
-def _ends_with_its_parent() -> None:
+def ends_with_its_parent() -> None:
     """In the child: a rehearsal that is killed leaves no couriers behind, where the system can see to it."""
     if sys.platform == "linux":
         ctypes.CDLL(None).prctl(PARENT_DEATH, signal.SIGTERM)
@@ -85,7 +85,7 @@
             env.pop(name, None)
         with (self._folder / "log").open("ab") as log:
             self._process = subprocess.Popen([sys.executable, "-m", "winchspan", *words], env=env, stderr=log,
-                                             stdout=log, preexec_fn=_ends_with_its_parent)
+                                             stdout=log, preexec_fn=ends_with_its_parent)
 
     def resident(self) -> int:
         """Its memory in bytes; 0 if it is not running, or the system does not tell."""
