Let a start import the decisions only once garbage is not looked for

Cause: with the daemon as parts a start had become dearer: 40 starts each, by turns on one core, CPU until 'listens': 189.5 ms in the median, the parts 201.5 (lower in 6 pairs of 40). At fault: `import secrets` in system.py (hmac, base64), and the package's own import of the decisions before __main__ had switched collecting off.

Change: the package gives `Sender` when asked for; the random number is taken from os.urandom.

--- a/winchspan/__init__.py
+++ b/winchspan/__init__.py
@@ -1,6 +1,19 @@
 """winchspan: the decisions of a sender that delivers webhooks to many outside destinations."""
 
-from winchspan.began import BEGAN as BEGAN  # first: the others cost time
-from winchspan.choice import Sender
+from typing import TYPE_CHECKING, Any
+
+from winchspan.began import BEGAN as BEGAN
+
+if TYPE_CHECKING:
+    from winchspan.choice import Sender
 
 __all__ = ["Sender"]
+
+
+def __getattr__(name: str) -> Any:
+    """Import what is asked for: a courier's start imports it later, where that costs less (`__main__`)."""
+    if name == "Sender":
+        from winchspan.choice import Sender
+
+        return Sender
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -6,7 +6,6 @@
 import errno
 import fcntl
 import os
-import secrets
 import selectors
 import socket
 from collections.abc import Mapping
@@ -136,7 +135,7 @@
 
     def nonce(self) -> int:
         """A random number over 0 that tells this process from others, below 2 to the 52nd."""
-        return secrets.randbits(51) + 1
+        return (int.from_bytes(os.urandom(7)) >> 5) + 1   # importing `secrets` would cost each start some
 
     def listen(self, host: str, port: int) -> Listener:
         """Listen for clients at an address; raises OSError."""
