Say less in an idle fleet: folders now and then, heartbeats four in an election's time

At fault: which folder a member has was said to all at each beat of 150 ms, and heartbeats went each 100 ms. Change: at each new connection and each 1.8 s; heartbeats 150 ms, asks 225 ms: four in an election's least time and in a lease, which is what both are for.

--- a/winchspan/agreement/raft.py
+++ b/winchspan/agreement/raft.py
@@ -43,7 +43,7 @@
 class Timing:
     """Times in ms, right for a local network; the same at all members."""
 
-    heartbeat: float = 100.0
+    heartbeat: float = 150.0  # four in an election's least time
     election: float = 600.0   # least time without a leader; up to twice that, at random (3.4)
 
 
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -34,7 +34,8 @@
 if TYPE_CHECKING:
     from winchspan.daemon import Daemon
 
-BEAT = 150.0              # ms between two rounds of asking, planning and saying who is here
+BEAT = 225.0              # ms between two rounds of asking and planning: four in a lease
+SAY_EACH = 8              # of them in one of which it says which folder it has; each new connection hears it
 CATCH_UP = 50.0           # ms between two tries to write what a full disk did not take
 FOLD = 200                # committed entries after which a snapshot stands for them
 _KINDS: dict[str, type[Any]] = {
@@ -86,7 +87,7 @@
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
-        self._timer_at, self._closed = float("inf"), False
+        self._timer_at, self._closed, self._beats = float("inf"), False, 0
         self._timer: Deadline | None = None
         self._streams = FleetStreams(self._name, members, secret, self._got, lambda name: self._here(name),
                                      lambda ms, call: daemon.deadlines.after(ms, call))
@@ -197,7 +198,8 @@
             return
         self._daemon.deadlines.after(BEAT, self._beat)
         now, there = self._now(), self._there()
-        for name in self._streams.members:
+        self._beats += 1
+        for name in self._streams.members if self._beats % SAY_EACH == 1 else ():
             self._here(name)
         empty = not self.raft.last[0] and not self.raft.term
         if (members := self._founding.begins(empty)):
