--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -15,20 +16,31 @@
 from pathlib import Path
 
 from winchspan.standins.platform import platform, wire
+from winchspan.standins.rehearsal import ends_with_its_parent
 
 HOST = "127.0.0.1"
 PATIENCE = 60.0           # s: far more than anything takes; no verdict hangs on it
+PORTS = 20_000, 32_000    # from which ports are drawn
 LOOK = 0.02               # s between two looks at a state that is waited for
 
 
-def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
-    """Ports that were free a moment ago, each another."""
-    probes = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for probe in probes:
-        probe.bind((HOST, 0))
-    found = [int(probe.getsockname()[1]) for probe in probes]
-    for probe in probes:
-        probe.close()
+def free_ports(count: int) -> list[int]:
+    """Ports that were free a moment ago, TCP and UDP, each another.
+
+    They lie below those that the system gives to connections that are opened: else any program's connection
+    could take one before it is listened on.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = random.SystemRandom().randrange(*PORTS)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((HOST, port))
+        except OSError:
+            continue
+        if port not in found:
+            found.append(port)
     return found
 
 
@@ -66,7 +78,7 @@
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "winchspan", "--operator", str(self.folder / "operator.sexp")],
-                env=env, stderr=log, stdout=log)
+                env=env, stderr=log, stdout=log, preexec_fn=ends_with_its_parent)
 
     def signal(self, number: int) -> None:
         """Send it a signal."""
@@ -95,6 +107,11 @@
         pairs = (line.partition("|")[0].rpartition(":") for line in lines)
         return {name.removeprefix("courier."): int(value) for name, _, value in pairs}
 
+    def duties(self) -> dict[str, int]:
+        """The duties that it may do at this moment, with their epochs."""
+        return {name.removeprefix("fleet.duty."): epoch for name, epoch in self.figures().items()
+                if name.startswith("fleet.duty.") and epoch}
+
     def members(self) -> tuple[int, int, int, int]:
         """How many members it holds for alive, suspect, gone and left; zeros if it does not answer."""
         found = self.figures()
@@ -108,7 +125,7 @@
 
     def __init__(self, folder: Path, size: int, more: str = "") -> None:
         """Write all files; nobody runs yet. `more` stands in each section `fleet`."""
-        ports = free_ports(size, socket.SOCK_DGRAM)
+        ports = free_ports(size)
         self.ports = {f"n{number}": port for number, port in enumerate(ports)}
         self.couriers = {name: FleetCourier(folder / name, name) for name in self.ports}
         self._more = more
@@ -133,7 +150,11 @@
 
     def wait(self, what: str, *wanted: tuple[str, tuple[int, int, int, int]]) -> float:
         """Wait until members hold so many for alive, suspect, gone and left."""
-        return wait_for(what, lambda: all(self.couriers[name].members() == state for name, state in wanted))
+        def so() -> bool:
+            for courier in self.couriers.values():
+                assert courier.process is None or courier.process.poll() in (None, 0), courier.log()[-300:]
+            return all(self.couriers[name].members() == state for name, state in wanted)
+        return wait_for(what, so)
 
     def stop(self) -> None:
         """End all."""
