--- a/tests/test_fleet_owners.py
+++ b/tests/test_fleet_owners.py
@@ -82,6 +82,20 @@
     assert all(after[duty][1] > before[duty][1] for duty in DUTIES if before[duty][0] == "n2")
 
 
+def test_the_journal_leaves_room_for_the_agreement_in_the_folders_limit(tmp_path: Path):
+    from winchspan.agreement.store import LIMIT
+    from winchspan.daemon import AGREEMENT_BYTES
+
+    assert AGREEMENT_BYTES == LIMIT
+    fleet = Fleet(tmp_path, 3, '(duties "one")')
+    courier = fleet["n0"]
+    config = courier.folder / "config.json"
+    config.write_text(config.read_text().replace('"disk_mb": 3', '"disk_mb": 1'))
+    courier.start()
+    assert courier.process is not None and courier.process.wait(60.0) == 2
+    assert "fleet.duties: the agreement's files take 512 KiB" in courier.log().splitlines()[-1]
+
+
 def test_all_killed_at_once_and_back_go_on_under_later_epochs(fleet: Fleet):
     fleet.start()
     before = at_work(fleet)
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
@@ -139,8 +140,12 @@
                  "fleet.agreement.leads": int(self.raft.role is Role.LEADER),
                  "fleet.agreement.voters": len(self.raft.members),
                  "fleet.agreement.behind": int(self._store.behind)}
-        found |= {f"fleet.duty.{duty}": self.may(duty) for duty in self._duties}
-        return found | {f"fleet.dropped.{c.replace(' ', '_')}": n for c, n in self._streams.dropped.items()}
+        return found | {f"fleet.duty.{duty}": self.may(duty) for duty in self._duties}
+
+    @property
+    def dropped(self) -> Counter[str]:
+        """Frames and connections that were not taken, by cause."""
+        return self._streams.dropped
 
     # ---- what comes --------------------------------------------------------------------------------------
     def _got(self, name: str, kind: str, body: bytes) -> None:
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -34,6 +34,7 @@
 
 ADMIN_FILES = 18          # the operators' listening socket, 16 links, and one that is being accepted
 OWN_FILES = 16            # descriptors beside links: streams, the loop, the journal, the listening socket
+AGREEMENT_BYTES = 512 * 1024  # of the folder that lasts, for a fleet's agreement (agreement/store.py LIMIT)
 LISTEN_ON = 700.0         # after SIGTERM, clients still come for 0.4 s
 START_UNTIL = 2_600.0     # after SIGTERM, new executions start; the platform kills no sooner than 3.7 s
 RUN_UNTIL = 3_300.0       # and this long what is out may still come back
@@ -81,7 +82,9 @@
         self.wishes = Wishes(operator, config.state, settings, config.seed)
         self.clock, lookout = self.system.clock, self.system.lookout
         self.deadlines = Deadlines(self.clock, loop, lookout)
-        self._journal = Journal(config.state, config.disk_bytes, self.system.disk)
+        duties = operator.get("fleet", {}).get("on") and operator["fleet"]["duties"]
+        room = config.disk_bytes - (AGREEMENT_BYTES if duties else 0)     # the folder's limit is for both
+        self._journal = Journal(config.state, room, self.system.disk)
         own = OWN_FILES + (ADMIN_FILES if config.admin else 0) + bool(operator.get("fleet", {}).get("on"))
         budget = self._budget = SocketBudget(config.sockets - own)
         self._figures = Figures(settings.classes)
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -42,9 +43,12 @@
         self._swim = Swim(daemon.config.name, members, life, daemon.config.seed, daemon.clock.now(), timing)
         self._council: Council | None = None
         if values["duties"]:
-            from winchspan.agreement.store import StoreError
+            from winchspan.agreement.store import LIMIT, StoreError
             from winchspan.council import Council
 
+            if daemon.config.disk_bytes < 2 * LIMIT:
+                raise ConfigError(f"{place_of(values, 'duties')}: fleet.duties: the agreement's files take "
+                                  f"{LIMIT >> 10} KiB, and limits.disk_mb leaves the journal less than that")
             try:
                 self._council = Council(daemon, members, values["duties"], secret, life, self._there)
             except StoreError as err:
@@ -90,7 +94,7 @@
                           "conflict": r.conflict} for name, r in self._swim.records.items()}
         return {"fleet": {"incarnation": self._swim.incarnation, "health": self._swim.sick,
                           "conflict": self._swim.conflict, "members": members,
-                          "dropped": dict(self._link.dropped + self._swim.dropped)}
+                          "dropped": dict(self._dropped())}
                 | (self._council.status() if self._council is not None else {})}
 
     def figures(self) -> dict[str, int]:
@@ -100,8 +104,12 @@
                   "fleet.frames.received": self._link.received}
         if self._council is not None:
             found |= self._council.figures()
-        dropped = self._link.dropped + self._swim.dropped
-        return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in dropped.items()}
+        return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in self._dropped().items()}
+
+    def _dropped(self) -> Counter[str]:
+        """What was not taken, by cause, datagrams and connections together."""
+        found = self._link.dropped + self._swim.dropped
+        return found + self._council.dropped if self._council is not None else found
 
     def close(self) -> None:
         """Let go of the socket."""
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -56,9 +56,9 @@
 class FleetCourier:
     """One courier's process, with its folder, its front for operators, and its place in the fleet."""
 
-    def __init__(self, folder: Path, name: str, discovery: int = 9) -> None:
+    def __init__(self, folder: Path, name: str, listen: int, admin: int, discovery: int = 9) -> None:
         self.folder, self.name, self._discovery = folder, name, discovery
-        self.listen, self.admin = free_ports(2)
+        self.listen, self.admin = listen, admin
         self.fleet = ""           # the section of the operator's file
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -125,9 +125,10 @@
 
     def __init__(self, folder: Path, size: int, more: str = "") -> None:
         """Write all files; nobody runs yet. `more` stands in each section `fleet`."""
-        ports = free_ports(size)
-        self.ports = {f"n{number}": port for number, port in enumerate(ports)}
-        self.couriers = {name: FleetCourier(folder / name, name) for name in self.ports}
+        ports = free_ports(3 * size)      # all at once: none is drawn twice
+        self.ports = {f"n{number}": port for number, port in enumerate(ports[:size])}
+        self.couriers = {name: FleetCourier(folder / name, name, *ports[size + 2 * n:size + 2 * n + 2])
+                         for n, name in enumerate(self.ports)}
         self._more = more
         self.section(list(self.ports))
 
