--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -279,7 +279,7 @@
 def test_a_leader_that_hears_nobody_steps_down_thanks_to_check_quorum(monkeypatch: pytest.MonkeyPatch,
                                                                      checked: bool):
     if not checked:
-        monkeypatch.setattr(Raft, "_quorum", lambda self, now: True)
+        monkeypatch.setattr(Raft, "_quorum", lambda self, now, within: True)
     world = led()
     leader = world.leader()
     assert leader is not None and leader.raft is not None
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -146,7 +146,7 @@
 
 def test_a_leader_that_does_not_wait_for_old_leases_is_found_out(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(Grants, "over_at",
-                        lambda self, duty, epoch: self._over.get((duty, epoch), self._began))
+                        lambda self, duty, epoch: self._over.get((duty, epoch), 0.0))
     assert found_out()
 
 
@@ -154,7 +154,7 @@
     from winchspan.agreement.raft import Role
 
     monkeypatch.setattr(Raft, "surely_leads", lambda self, now: self.role is Role.LEADER)
-    monkeypatch.setattr(Raft, "_quorum", lambda self, now: True)
+    monkeypatch.setattr(Raft, "_quorum", lambda self, now, within: True)
     assert found_out()
 
 
--- a/winchspan/agreement/raft.py
+++ b/winchspan/agreement/raft.py
@@ -45,6 +45,7 @@
 
     heartbeat: float = 150.0  # four in an election's least time
     election: float = 600.0   # least time without a leader; up to twice that, at random (3.4)
+    sure: float = 300.0       # a majority's answers that `surely_leads` rests on are to words no older
 
 
 class Role(Enum):
@@ -129,10 +130,21 @@
         return min(self._beat_at, self._expire_at) if self.role is Role.LEADER else self._expire_at
 
     def surely_leads(self, now: float) -> bool:
-        """Whether no other can have been elected by now, and all that was agreed before is known here."""
-        return (self.role is Role.LEADER and not self.muted and self._quorum(now)
+        """Whether no other can have been elected by now, and all that was agreed before is known here.
+
+        It asks more than `_quorum`: answers to what was sent within `Timing.sure`. What rests on it ends so
+        much sooner before another's election (owners/leases.py).
+        """
+        return (self.role is Role.LEADER and not self.muted and self._quorum(now, self.timing.sure)
                 and self._term_at(self.commit) == self.term)
 
+    def reaches(self, now: float, name: str, within: float) -> bool:
+        """Whether a member has answered this leader's word of the last so many ms."""
+        if name == self.me:
+            return True
+        p = self._progress.get(name)
+        return self.role is Role.LEADER and p is not None and p.heard >= now - within
+
     def tick(self, now: float) -> list[Action]:
         """Do what is due."""
         late = now - self.next_at
@@ -304,20 +316,20 @@
 
     def _lead_on(self, now: float) -> None:
         if self._expire_at <= now:
-            if not self._quorum(now):
+            if not self._quorum(now, self.timing.election):
                 self._follow(now, self.term, "", "no majority has answered for an election's time")
                 return
             self._expire_at = now + self.timing.heartbeat
         if self._beat_at <= now:
             self._beat(now)
 
-    def _quorum(self, now: float) -> bool:
-        """Whether a majority has answered what was sent within an election's time (6.2).
+    def _quorum(self, now: float, within: float) -> bool:
+        """Whether a majority has answered what was sent within some ms; an election's time: 6.2.
 
         By the sending, not by the hearing: answers that lay unread while this process was held up prove
         nothing of now.
         """
-        heard = {name for name, p in self._progress.items() if p.heard >= now - self.timing.election}
+        heard = {name for name, p in self._progress.items() if p.heard >= now - within}
         return self._majority(heard | {self.me})
 
     def _beat(self, now: float) -> None:
@@ -365,6 +377,7 @@
             holders = {name for name, p in self._progress.items() if p.match >= index} | {self.me}
             if self._majority(holders):
                 self._commit_to(index)
+                self._beat_at = float("-inf")          # that it is committed is told at once
                 if self.me not in self.members:        # it has seen its own removal through (4.2.2)
                     self.role = Role.FOLLOWER
                     self._tell_leader("", "it is no member any more")
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -88,9 +88,14 @@
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
+        self._renewed_to = 0.0    # when the last lease is over that this process has renewed, in any term
+        self._plans: Deadline | None = None
         self._timer_at, self._closed, self._beats = float("inf"), False, 0
+        self._readers: dict[str, Callable[[str, bytes], None]] = {}     # of frames that are not the council's
+        self._lost: list[Callable[[str], None]] = []
+        self._met: list[Callable[[str], None]] = []
         self._timer: Deadline | None = None
-        self._streams = FleetStreams(self._name, members, secret, self._got, lambda name: self._here(name),
+        self._streams = FleetStreams(self._name, members, secret, self._got, self._connected,
                                      lambda ms, call: daemon.deadlines.after(ms, call))
 
     def _now(self) -> float:
@@ -108,6 +113,35 @@
         """The epoch under which this courier may do a duty at this moment; 0: it may not."""
         return self.leases.may(duty, self._now())
 
+    # ---- what duties rest on -----------------------------------------------------------------------------
+    def hear(self, kind: str, reader: Callable[[str, bytes], None]) -> None:
+        """Give frames of a kind to whoever does a duty: sender and body."""
+        self._readers[kind] = reader
+
+    def tell(self, to: str, kind: str, body: bytes) -> bool:
+        """Say something to a member's process, whatever its folder; False if there is no connection."""
+        return self._streams.say(to, kind, body)
+
+    def others(self) -> list[str]:
+        """The other members."""
+        return [name for name in self._streams.members if name != self._name]
+
+    def there(self) -> dict[str, int]:
+        """Who is there, with their processes' numbers, this one among them."""
+        return self._there()
+
+    def on_lost(self, call: Callable[[str], None]) -> None:
+        """Call with a duty that this courier lets go of, before anybody hears that it has."""
+        self._lost.append(call)
+
+    def on_met(self, call: Callable[[str], None]) -> None:
+        """Call with a member to which there is a connection again."""
+        self._met.append(call)
+
+    def left(self, duty: str) -> float:
+        """For how many ms this courier may still do a duty."""
+        return self.leases.left(duty, self._now())
+
     def reread(self, members: Mapping[str, Address]) -> None:
         """Others are members now."""
         self._streams.members = members
@@ -155,6 +189,9 @@
                 if name_of(here.member) == name:
                     self._founding.here(here.member, here.empty)
                 return
+            if (other := self._readers.get(kind)) is not None:
+                other(name, body)
+                return
             reader = _READERS.get(kind)
             said = _SAID.decode(body)
             if reader is None or name_of(said.source) != name or said.to != self._store.me:
@@ -166,14 +203,12 @@
             return
         now = self._now()
         if isinstance(what, Ask):
-            if self._grants is not None and what.owner == name:
-                renewal = self._grants.renew(now, what, self.ledger, self.raft.surely_leads(now))
-                if renewal is not None:
-                    self._say(said.source, renewal)
+            if what.owner == name and (renewal := self._renew(now, what)) is not None:
+                self._say(said.source, renewal)
         elif isinstance(what, Renewal):
             self.leases.renewed(what)
         elif isinstance(what, GiveUp):
-            self._say(said.source, self.leases.give_up(what))
+            self._say(said.source, self._give_up(what))
         elif isinstance(what, GaveUp):
             if self._grants is not None:
                 self._grants.gave_up(now, what)
@@ -183,16 +218,34 @@
     def _say(self, to: str, what: Message | Ask | Renewal | GiveUp | GaveUp) -> None:
         if to == self._store.me:                       # a leader's own duties
             now = self._now()
-            if isinstance(what, Ask) and self._grants is not None:
-                renewal = self._grants.renew(now, what, self.ledger, self.raft.surely_leads(now))
-                if renewal is not None:
-                    self.leases.renewed(renewal)
+            if isinstance(what, Ask) and (renewal := self._renew(now, what)) is not None:
+                self.leases.renewed(renewal)
             elif isinstance(what, GiveUp) and self._grants is not None:
-                self._grants.gave_up(now, self.leases.give_up(what))
+                self._grants.gave_up(now, self._give_up(what))
             return
         body = _ENCODER.encode(_Said(self._store.me, to, msgspec.Raw(_ENCODER.encode(what))))
         self._streams.say(name_of(to), _NAMES[type(what)], body)
 
+    def _renew(self, now: float, ask: Ask) -> Renewal | None:
+        """Let leases go on, if this courier surely leads."""
+        if self._grants is None:
+            return None
+        found = self._grants.renew(now, ask, self.ledger, self.raft.surely_leads(now))
+        self._renewed_to = max(self._renewed_to, self._grants.latest)
+        return found
+
+    def _give_up(self, what: GiveUp) -> GaveUp:
+        """Let go of a duty; whoever does it hears so first."""
+        answer = self.leases.give_up(what)
+        for call in self._lost:
+            call(what.duty)
+        return answer
+
+    def _connected(self, name: str) -> None:
+        self._here(name)
+        for call in self._met:
+            call(name)
+
     def _here(self, name: str) -> None:
         empty = not self.raft.last[0] and not self.raft.term
         self._streams.say(name, "here", _ENCODER.encode(_Here(self._store.me, empty)))
@@ -202,7 +255,7 @@
         if self._closed:
             return
         self._daemon.deadlines.after(BEAT, self._beat)
-        now, there = self._now(), self._there()
+        now = self._now()
         self._beats += 1
         for name in self._streams.members if self._beats % SAY_EACH == 1 else ():
             self._here(name)
@@ -210,10 +263,20 @@
         if (members := self._founding.begins(empty)):
             logger.info("fleet: begins an agreement of {}", ", ".join(sorted(members)))
             self._carry_out(self.raft.found(now, members))
+        self._ask(now)
+        self._plan()
+
+    def _ask(self, now: float) -> None:
+        """Ask that the leases of this courier go on."""
         if (ask := self.leases.ask(now, self.ledger)) is not None and self.raft.leader:
             self._say(self.raft.leader, ask)
-        if self._grants is None or not self.raft.surely_leads(now):
+
+    def _plan(self) -> None:
+        """As leader, ask who is to vote, and see to it that each duty has an owner who is there."""
+        now = self._now()
+        if self._closed or self._grants is None or not self.raft.surely_leads(now):
             return
+        there = self._there()
         wanted = self._founding.change(self.raft.members, there)
         if wanted is not None:
             index, actions = self.raft.change(now, wanted)
@@ -221,12 +284,18 @@
                 logger.info("fleet: asks that these agree: {}", ", ".join(sorted(wanted)))
             self._carry_out(actions)
         voters = {name_of(member): member for member in self.raft.members}
-        able = {name: life for name, life in there.items() if name in voters}
+        able = {name: life for name, life in there.items()
+                if name in voters and self.raft.reaches(now, voters[name], self._timing.lease)}
         for step in self._grants.plan(now, able, self.ledger):
             if isinstance(step, Assign):
                 self._carry_out(self.raft.propose(now, step.data())[1])
             elif step[0] in voters:
                 self._say(voters[step[0]], step[1])
+        if self._plans is not None:
+            self._plans.cancel()
+        over = self._grants.waits_until(now, able, self.ledger) - now if self._grants is not None else BEAT
+        if over < BEAT:                                # no later than it may be given on
+            self._plans = self._daemon.deadlines.after(over, self._plan)
 
     def _tick(self) -> None:
         self._timer, self._timer_at = None, float("inf")
@@ -257,12 +326,15 @@
                     if duty:
                         grant = self.ledger.grants[duty]
                         self.leases.moved(duty, grant)
+                        if grant.owner == self._name:
+                            self._daemon.deadlines.after(0.0, lambda: self._ask(self._now()))
                         logger.info("fleet: {} is {}'s, epoch {}", duty, grant.owner, grant.epoch)
                 case Restore(snapshot):
                     self.ledger.restore(snapshot.data)
                 case Leads(leader, term, why):
                     mine = leader == self._store.me
-                    self._grants = Grants(self._now(), self._duties, self._timing) if mine else None
+                    self._grants = Grants(self._now(), self._duties, self._timing,
+                                          self._renewed_to) if mine else None
                     logger.info("fleet: {} leads in term {}: {}", leader or "nobody", term, why)
         if self.raft.commit - self.raft.snapshot.index > FOLD and not self._store.behind:
             self._carry_out(self.raft.compact(self.raft.commit, self.ledger.data()))
--- a/winchspan/owners/leases.py
+++ b/winchspan/owners/leases.py
@@ -3,12 +3,15 @@
 A lease is a promise about clocks (Gray and Cheriton 1989): the leader gives a duty to another only once the
 lease that it last renewed is surely over. Renewals are in no log. Why that is safe across a change of leader:
 
-- A leader renews only while a majority has answered what it sent within an election's time, and only once an
-  entry of its own term is committed, so that its ledger is up to date (`Raft.surely_leads`).
+- A leader renews only while a majority has answered what it sent within `sure` ms, and only once an entry of
+  its own term is committed, so that its ledger is up to date (`Raft.surely_leads`).
 - Some member of that majority votes for the next leader, and no sooner than an election's time after it heard
-  the old one (4.2.3), or after it was started. So no renewal is later than the next leader's election, but
-  for the drift of two clocks over an election's time.
-- The next leader waits for a whole lease from its election before it gives away what another held.
+  the old one (4.2.3), or after it was started. So the last renewal is `election - sure` before the next
+  leader's election at least, but for the drift of two clocks over both times.
+- The next leader waits for a lease less that time from its election before it gives away what another held.
+- The one whom a voter takes for its leader may be voted for sooner: it knows what it has renewed itself, from
+  one term to the next (`Grants.latest`), unless it was started anew, and then it stands for no election
+  within an election's time.
 - Once it has proposed that a duty change hands, it does not renew what is to end by that.
 
 `drift` is the most that any clock gains or loses on true time, as a part of it. The owner counts its lease
@@ -35,6 +38,7 @@
     lease: float = 900.0
     drift: float = 0.01       # a hundred times what a quartz is allowed
     election: float = 600.0   # the agreement's least, and twice that its most
+    sure: float = 300.0       # the agreement's: how old the answers may be that a renewal rests on
     settle: float = 3_000.0   # since the last change of who is there, before duties of living owners move
 
     @property
@@ -45,7 +49,8 @@
     @property
     def after_election(self) -> float:
         """How long a new leader waits for leases that another may have renewed."""
-        return (self.lease + 2.0 * self.drift * self.election) * (1.0 + self.drift)
+        apart = self.election - self.sure - self.drift * (self.election + self.sure)
+        return (self.lease - apart) * (1.0 + self.drift)
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,16 +147,18 @@
 class Grants:
     """The leader's side, from its election on."""
 
-    def __init__(self, now: float, duties: tuple[str, ...], timing: Timing) -> None:
+    def __init__(self, now: float, duties: tuple[str, ...], timing: Timing, latest: float = 0.0) -> None:
         """Begin to lead.
 
         Args:
             now: when the election was won.
             duties: all that are to have an owner.
             timing: the fleet's.
+            latest: when the last lease is over that this process renewed in an earlier term.
         """
         self.timing, self._duties = timing, duties
-        self._began = now
+        self.latest = latest
+        self._old = max(now + timing.after_election, latest)    # when all that others renewed is over
         self._over: dict[tuple[str, int], float] = {}       # by duty and epoch, when its lease is surely over
         self._moving: dict[str, int] = {}                   # duties that are asked for, with their epochs
         self._closed: set[tuple[str, int]] = set()          # proposed to end: not renewed any more
@@ -166,7 +173,7 @@
         for duty, epoch in ask.duties:
             open_ = self._moving.get(duty) != epoch and (duty, epoch) not in self._closed
             if open_ and ledger.grants.get(duty) == Grant(ask.owner, ask.life, epoch):
-                self._over[duty, epoch] = now + self.timing.lease
+                self._over[duty, epoch] = self.latest = now + self.timing.lease
                 found.append((duty, epoch))
         return Renewal(ask.number, tuple(found))
 
@@ -177,7 +184,12 @@
 
     def over_at(self, duty: str, epoch: int) -> float:
         """When a lease is surely over."""
-        return self._over.get((duty, epoch), self._began + self.timing.after_election)
+        return self._over.get((duty, epoch), self._old)
+
+    def waits_until(self, now: float, there: Mapping[str, int], ledger: Ledger) -> float:
+        """When the first lease is over of an owner that is not there, if that is still to come."""
+        return min((at for duty, g in ledger.grants.items() if there.get(g.owner) != g.life
+                    and (at := self.over_at(duty, g.epoch)) > now), default=float("inf"))
 
     def plan(self, now: float, there: Mapping[str, int], ledger: Ledger) -> list[Assign | tuple[str, GiveUp]]:
         """What is to be proposed, and whom to ask to let go.
--- a/winchspan/standins/owners_world.py
+++ b/winchspan/standins/owners_world.py
@@ -26,6 +26,7 @@
     leases: Leases
     ledger: Ledger = field(default_factory=Ledger)
     grants: Grants | None = None
+    latest: float = 0.0       # when the last lease that it renewed is over
 
 
 class OwnersWorld(AgreementWorld):
@@ -42,7 +43,7 @@
         self.moves: list[tuple[float, str, str]] = []
         self.fence = Fence()
         drifts = random.Random(seed)
-        super().__init__(names, seed, AgreementTiming(election=self.leasing.election), **how)
+        super().__init__(names, seed, AgreementTiming(election=self.leasing.election, sure=self.leasing.sure), **how)
         for place in self.places.values():
             place.rate = 1.0 + drifts.uniform(-drift, drift)
         self._later(0.0, self._beat)
@@ -151,7 +152,9 @@
                 continue
             if isinstance(action, Leads):
                 mine = action.leader == place.name
-                desk.grants = Grants(self.local(place), self.duties, self.leasing) if mine else None
+                if desk.grants is not None:
+                    desk.latest = desk.grants.latest
+                desk.grants = Grants(self.local(place), self.duties, self.leasing, desk.latest) if mine else None
             elif isinstance(action, Restore):
                 desk.ledger.restore(action.snapshot.data)
 
