Divide probes over a fleet, share waits, and give the first client all its time

Change: duties/ (probes, waits, quorum) as decisions, probing.py as their wiring: a probe is announced to a majority before its first byte, under its duty's epoch, and the lease, the list, waits and operators' words are looked at right before. standins/relay.py stands between each two processes; standins/probed.py judges what arrives. Found on the way, each with a test that fails without its mending: a duty that was asked to move to one that died was renewed by nobody until that was back; the first connection to a courier was taken for as old as the process, so that its message's time was over.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -1,15 +1,25 @@
-"""What a fleet's members cost, and how fast they see: `PYTHONPATH=. python benchmarks/owners.py`, 5 minutes.
+"""What a fleet's members and owners cost, how fast they see, and that each duty is done once and in time.
 
-Real processes: time from SIGKILL until all others hold a courier for gone, and CPU and memory of an idle one
-with the fleet on and off. In virtual time: datagrams and bytes a member and second, and false suspicions.
+`PYTHONPATH=. python benchmarks/owners.py measure`, 5 minutes: time from SIGKILL until all others hold a
+courier for gone and until a duty's next owner, CPU and memory of an idle courier with the fleet on and off;
+in virtual time datagrams and bytes a member and second, and false suspicions.
+
+`... proof kills --minutes 30`: three processes, one killed every minute. `... proof faults --count 125 --seed
+1`: freezes, cuts in one direction and both, kills and loss between three processes, at random. What is judged
+is what arrived at the endpoints that the fleet probes.
 """
 
 from __future__ import annotations
 
 import os
+import random
+import shutil
+import signal
 import statistics
 import tempfile
 import time
+from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -18,6 +28,8 @@
 from winchspan.net.fleet_link import encode
 from winchspan.standins.couriers import Fleet, FleetCourier, wait_for
 from winchspan.standins.fleet_world import World
+from winchspan.standins.probed import Probed, judge
+from winchspan.standins.relay import Harm
 
 IDLE = 20.0               # s over which an idle courier is measured
 
@@ -144,9 +156,123 @@
           f"{len([h for h in world.changes(State.GONE, since=begun) if h.what.name != 'n3'])} times")
 
 
-@click.command()
+ENDPOINTS, EVERY, LATE = 24, 1.0, 2.0    # probed, s from one turn to the next, and s after it that are late
+RATE = 200.0              # calls a second that each listed partner takes: its own part is no bound then
+REST = 4.0                # s between the end of a fault and the next: duties are back where they belong
+
+
+Faults = list[tuple[float, str]]         # when each began, and what it was
+
+
+def play(what: str, nemesis: Callable[[Fleet], Faults], seed: int, keep: str) -> None:
+    """Let a fleet probe endpoints while faults strike, and judge what came."""
+    probed = Probed(ENDPOINTS, RATE)
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder), 3, f"(probe-every {EVERY:g})", True, seed, known=probed.known())
+        try:
+            fleet.start()
+            wait_for("each endpoint has been probed",
+                     lambda: len({act.endpoint for act in probed.acts}) == ENDPOINTS)
+            time.sleep(REST)
+            begun = time.monotonic()
+            faults = nemesis(fleet)
+            until = time.monotonic()
+            found = judge([act for act in probed.acts if act.at > begun - EVERY], EVERY, LATE, until)
+            counts = Counter[str]()
+            for courier in fleet.couriers.values():
+                counts += Counter({name.removeprefix("fleet.probes."): n for name, n
+                                   in courier.figures().items() if "fleet.probes" in name})
+            if keep:
+                shutil.copytree(folder, keep, dirs_exist_ok=True)
+        finally:
+            fleet.stop()
+            probed.close()
+    kinds = Counter(kind.split()[0] for _, kind in faults)
+    print(f"{what}, seed {seed}: {until - begun:.0f} s, {len(faults)} faults {dict(kinds)}")
+    print(f"  {found.acts} probes of {ENDPOINTS} endpoints; twice {len(found.twice)}, over {LATE:g} s late "
+          f"{len(found.late)} (latest {found.worst:.2f} s), under an old epoch {len(found.old)}; "
+          f"{dict(counts)}")
+    for act, line in (*found.twice, *found.late, *found.old)[:20]:
+        fault = max((f for f in faults if f[0] < act.at), default=(begun, "none"))
+        print(f"  {line}; {act.at - fault[0]:.2f} s after {fault[1]} began; log's time "
+              f"{time.strftime('%H:%M:%S', time.gmtime(time.time() - time.monotonic() + act.at))}")
+
+
+def kills_each_minute(minutes: int, seed: int, keep: str) -> None:
+    """One of three is killed every minute, and started again 10 s later."""
+    def nemesis(fleet: Fleet) -> Faults:
+        rng, faults = random.Random(seed), Faults()
+        for _ in range(minutes):
+            begun, name = time.monotonic(), rng.choice(list(fleet.couriers))
+            time.sleep(rng.uniform(0.0, EVERY))
+            fleet[name].kill()
+            faults.append((time.monotonic(), f"kill {name}"))
+            time.sleep(10.0)
+            fleet[name].start()
+            time.sleep(max(0.0, 60.0 - (time.monotonic() - begun)))
+        return faults
+    play(f"a kill a minute for {minutes} minutes", nemesis, seed, keep)
+
+
+def faults_at_random(count: int, seed: int, keep: str) -> None:
+    """One fault after the other, each at a moment of its own."""
+    def nemesis(fleet: Fleet) -> Faults:
+        rng, faults, names = random.Random(seed), Faults(), list(fleet.couriers)
+        for _ in range(count):
+            name, other = rng.sample(names, 2)
+            kind, lasts = rng.choice(["freeze", "freeze", "cut", "cut", "mute", "deaf", "alone", "kill",
+                                      "loss"]), rng.uniform(0.2, 4.0)
+            time.sleep(rng.uniform(0.0, EVERY))
+            faults.append((time.monotonic(), f"{kind} {name} {other if kind == 'cut' else ''} {lasts:.2f} s"))
+            if kind == "freeze":
+                fleet[name].signal(signal.SIGSTOP)
+            elif kind == "cut":
+                fleet.relay.cut(name, other)
+            elif kind in ("mute", "deaf"):
+                for third in names:
+                    if third != name:
+                        fleet.relay.cut(*((name, third) if kind == "mute" else (third, name)))
+            elif kind == "alone":
+                fleet.relay.split({name})
+            elif kind == "kill":
+                fleet[name].kill()
+            else:
+                fleet.relay.all(Harm(drop=0.2, double=0.1, late=0.2, delay=10.0))
+            time.sleep(lasts)
+            if kind == "freeze":
+                fleet[name].signal(signal.SIGCONT)
+            elif kind == "kill":
+                fleet[name].start()
+            else:
+                fleet.relay.heal()
+            fleet.wait("all know each other", *((one, (3, 0, 0, 0)) for one in names))
+            time.sleep(REST)
+        return faults
+    play("faults at random", nemesis, seed, keep)
+
+
+@click.group()
+def main() -> None:
+    """Measure and prove the members and owners of a fleet."""
+
+
+@main.command()
+@click.argument("what", type=click.Choice(["kills", "faults"]))
+@click.option("--minutes", default=30, help="Of kills, one a minute.")
+@click.option("--count", default=125, help="Faults.")
+@click.option("--seed", default=1, help="Of who is struck, how and when.")
+@click.option("--keep", default="", help="Folder for the couriers' logs.")
+def proof(what: str, minutes: int, count: int, seed: int, keep: str) -> None:
+    """Strike real processes, and judge from outside that each duty is done once and in time."""
+    if what == "kills":
+        kills_each_minute(minutes, seed, keep)
+    else:
+        faults_at_random(count, seed, keep)
+
+
+@main.command()
 @click.option("--kills", "rounds", default=20, help="Kills for each size of fleet.")
-def main(rounds: int) -> None:
+def measure(rounds: int) -> None:
     """Measure the members of a fleet."""
     for size in (5, 40, 200):
         traffic(size, 60.0 if size < 200 else 10.0)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -150,6 +150,19 @@
         courier.wait()
 
 
+def test_the_first_client_has_all_its_time_however_long_the_courier_has_run(tmp_path: Path,
+                                                                             partner: ThreadingHTTPServer):
+    """Its connection was taken for as old as the process, and its message's time for over."""
+    port = free_port()
+    courier = start(tmp_path, port, partner.server_port, ready_by=b"listens on")
+    try:
+        time.sleep(2.0)
+        assert ask(port, request("gallery-notice", "8", "x", patience_ms=1_900)) == b"+OK\r\n"
+    finally:
+        courier.kill()
+        courier.wait()
+
+
 def test_a_configuration_that_cannot_be_used_ends_the_start_with_one_line(tmp_path: Path):
     (tmp_path / "config.json").write_text('{"listen": "127.0.0.1:0"}')
     done = subprocess.run([sys.executable, "-m", "winchspan"], cwd=ROOT, capture_output=True, text=True,
--- /dev/null
+++ b/tests/test_fleet_duties.py
@@ -0,0 +1,163 @@
+"""Probes of three real couriers, with a relay between each two: what arrives at the endpoints is judged."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from winchspan.standins.couriers import HOST, Fleet, wait_for
+from winchspan.standins.probed import Act, Probed, judge
+
+NAMES = ("n0", "n1", "n2")
+ALL = tuple((name, (3, 0, 0, 0)) for name in NAMES)
+EVERY = 1.0               # s
+
+
+@pytest.fixture(scope="module")
+def probed() -> Iterator[Probed]:
+    found = Probed(24, 200.0)
+    yield found
+    found.close()
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory, probed: Probed) -> Iterator[Fleet]:
+    found = Fleet(tmp_path_factory.mktemp("fleet"), 3, f"(probe-every {EVERY:g}) (shared-waits yes)", True,
+                  known=probed.known())
+    found.start()
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def fleet(running: Fleet, probed: Probed) -> Iterator[Fleet]:
+    """All three, each with its part of the work; who was struck by the test before is back."""
+    since = time.monotonic()
+    running.wait("all know each other", *ALL)
+    wait_for("all have part in it", lambda: all(turns(probed, 2, since).values()) and {
+        act.owner for act in probed.acts if act.at > since} == set(NAMES))
+    yield running
+    running.relay.heal()
+    for courier in running.couriers.values():
+        if courier.process is None:
+            courier.start()
+        courier.signal(signal.SIGCONT)
+
+
+def turns(probed: Probed, count: int, since: float = 0.0) -> dict[str, bool]:
+    """By endpoint, whether it has been probed so often since a time."""
+    return {name: sum(act.endpoint == name and act.at > since for act in probed.acts) >= count
+            for name in probed.ports}
+
+
+def go_on(probed: Probed, owners: tuple[str, ...], what: str) -> list[Act]:
+    """Wait until each endpoint has been probed twice more, all by some; returns what came meanwhile."""
+    def so() -> bool:
+        latest = {act.endpoint: act for act in probed.acts}
+        return all(turns(probed, 2, since).values()) and {a.owner for a in latest.values()} <= set(owners)
+    since = time.monotonic()
+    wait_for(what, so)
+    return [act for act in probed.acts if act.at > since]
+
+
+def once(probed: Probed) -> None:
+    """Nothing was done twice, nothing by an owner that another had come after."""
+    found = judge(probed.acts, EVERY, 1e9, 0.0)
+    assert found.twice == [] and found.old == []
+
+
+def again(probed: Probed, name: str) -> None:
+    """Wait until somebody has part in the work again."""
+    since = time.monotonic()
+    wait_for("it probes again", lambda: any(act.owner == name and act.at > since for act in probed.acts))
+
+
+def busiest(probed: Probed) -> str:
+    """Who has probed most of late."""
+    owners = [act.owner for act in probed.acts[-48:]]
+    return max(NAMES, key=owners.count)
+
+
+def test_an_owner_that_is_killed_is_followed_and_takes_its_part_again(fleet: Fleet, probed: Probed):
+    dead = busiest(probed)
+    fleet[dead].kill()
+    go_on(probed, tuple(name for name in NAMES if name != dead), "the others probe all")
+    fleet[dead].start()
+    fleet.wait("it is back", *ALL)
+    again(probed, dead)
+    once(probed)
+
+
+def test_an_owner_that_is_frozen_and_wakes_does_no_harm(fleet: Fleet, probed: Probed):
+    for asleep in (busiest(probed), "n0"):
+        fleet[asleep].signal(signal.SIGSTOP)
+        go_on(probed, tuple(name for name in NAMES if name != asleep), "the others probe all")
+        fleet[asleep].signal(signal.SIGCONT)
+        fleet.wait("it is back", *ALL)
+        again(probed, asleep)
+    once(probed)
+
+
+@pytest.mark.parametrize("hears", [True, False])
+def test_an_owner_that_is_cut_off_in_one_direction_is_followed(fleet: Fleet, probed: Probed, hears: bool):
+    cut = busiest(probed)
+    for other in NAMES:
+        if other != cut:
+            fleet.relay.cut(*((other, cut) if not hears else (cut, other)))
+    go_on(probed, tuple(name for name in NAMES if name != cut), "the others probe all")
+    wait_for("it knows that it may do nothing", lambda: bool(fleet[cut].figures())
+             and not fleet[cut].duties())
+    fleet.relay.heal()
+    again(probed, cut)
+    once(probed)
+
+
+def test_two_that_do_not_hear_each_other_act_through_the_third_and_nothing_is_done_twice(fleet: Fleet,
+                                                                                         probed: Probed):
+    fleet.relay.cut("n0", "n1")
+    fleet.relay.cut("n1", "n0")
+    go_on(probed, NAMES, "all is probed")
+    once(probed)
+    fleet.relay.heal()
+
+
+def test_a_wait_binds_every_courier_and_its_probes(fleet: Fleet, probed: Probed):
+    """One is told to wait by a probe's answer; nobody sends a message or a probe before that is over."""
+    wait = 3.0
+    probed.answers["s-3"] = 429, (("X-RateLimit-Wait-Ms", f"{wait * 1_000:.0f}"),)
+    wait_for("the answer is told", lambda: all(fleet[name].figures().get("fleet.waits", 0) for name in NAMES))
+    told = max(act.at for act in probed.acts if act.endpoint == "s-3")
+    probed.answers.clear()
+    for name in NAMES:
+        assert submit(fleet[name].listen, 3).startswith(b"+OK")
+    wait_for("the messages come", lambda: sum(name == "s-3" for _, name in probed.calls) >= 3)
+    after = [at for at, name in probed.calls if name == "s-3"]
+    probes = [act.at for act in probed.acts if act.endpoint == "s-3" and act.at > told]
+    # 100 ms after the answer are let through by the platform, too; clocks of one machine are the same.
+    assert min(after + probes) > told + wait - 0.1
+    once(probed)
+
+
+def test_what_is_taken_out_of_service_by_hand_is_probed_no_more(fleet: Fleet, probed: Probed):
+    for name in NAMES:
+        fleet[name].operate("endpoints/s-5/offline")
+    said = time.monotonic()
+    go_on_without = {name for name in probed.ports if name != "s-5"}
+    wait_for("the others are probed", lambda: all(turns(probed, 3, said)[name] for name in go_on_without))
+    assert not [act for act in probed.acts if act.endpoint == "s-5" and act.at > said + 0.25]
+    for name in NAMES:
+        fleet[name].operate("endpoints/s-5/online")
+    wait_for("it is probed again", lambda: turns(probed, 1, said)["s-5"])
+
+
+def submit(port: int, dest: int) -> bytes:
+    """Hand one message in; the courier's answer."""
+    name = f"{time.monotonic_ns() % (1 << 64):016x}".encode()
+    words = [b"SUBMIT", b"0" * 16, name, f"c=gallery-notice,d=5000,k={'0' * 16},dest={dest}".encode(), b"x"]
+    with socket.create_connection((HOST, port), timeout=5.0) as link:
+        link.sendall(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+        return link.recv(100)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,7 +17,8 @@
     "winchspan.choice": 1, "winchspan.retune": 1, "winchspan.storms": 1, "winchspan": 1,
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
-    "winchspan.members": 1, "winchspan.owners": 1, "winchspan.agreement": 1, "winchspan.agreement.store": 2,
+    "winchspan.members": 1, "winchspan.owners": 1, "winchspan.duties": 1,
+    "winchspan.agreement": 1, "winchspan.agreement.store": 2,
     "winchspan.records": 2,
     "winchspan.courier": 2, "winchspan.journal": 2,
     "winchspan.undelivered.store": 2, "winchspan.undelivered.keeper": 2, "winchspan.undelivered.resender": 2,
@@ -26,7 +27,7 @@
     "winchspan.storms.setup": 3, "winchspan.storms.report": 3,      # the half that is no decision
     "winchspan.undelivered.setup": 3, "winchspan.upgrade": 3, "winchspan.upgrade.steps": 1,
     "winchspan.adapter": 4, "winchspan.__main__": 4, "winchspan.daemon": 4, "winchspan.parts": 4,
-    "winchspan.fleet": 4, "winchspan.council": 4,
+    "winchspan.fleet": 4, "winchspan.council": 4, "winchspan.probing": 4,
     "winchspan.part": 4,
     "winchspan.standins": 5, "winchspan.emulator": 5, "winchspan.lab": 5,
     "winchspan.cli": 6,
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -162,6 +162,29 @@
     assert found_out(60, drift=0.3)
 
 
+def test_a_duty_that_was_to_move_goes_on_where_it_is_if_who_was_to_have_it_dies():
+    """It was never renewed again: nobody did it until the dead one was back."""
+    timing, ledger = Timing(), Ledger()
+    to = wished("a", {"n0": 1, "n1": 1})
+    owner = "n1" if to == "n0" else "n0"
+    ledger.apply(5, Assign("a", owner, 1, 0).data())
+    grants, now = Grants(0.0, ("a",), timing), 10_000.0
+    leases = Leases(owner, 1, timing)
+
+    def renewed(at: float) -> bool:
+        ask = leases.ask(at, ledger)
+        renewal = grants.renew(at, ask, ledger, True) if ask is not None else None
+        return renewal is not None and bool(renewal.duties)
+    both = {"n0": 1, "n1": 1}
+    assert grants.plan(0.0, both, ledger) == [] and renewed(now)
+    (step,) = grants.plan(now, both, ledger)
+    assert isinstance(step, tuple) and step[0] == owner and not renewed(now)
+    grants.gave_up(now, leases.give_up(step[1]))
+    (step,) = grants.plan(now, {owner: 1}, ledger)
+    assert isinstance(step, Assign) and step.owner == owner
+    assert ledger.apply(6, step.data()) == "a" and renewed(now) and grants.plan(now, {owner: 1}, ledger) == []
+
+
 def test_the_ledger_takes_an_assignment_only_on_what_its_proposer_saw():
     ledger, fence = Ledger(), Fence()
     assert ledger.apply(5, Assign("a", "n0", 1, 0).data()) == "a"
--- a/winchspan/agreement/raft.py
+++ b/winchspan/agreement/raft.py
@@ -36,6 +36,7 @@
 
 MOST_ENTRIES = 64         # in one message
 MOST_UNCOMMITTED = 256    # proposals that wait; more are refused
+SPREAD = 1.5              # times the least time without a leader, at most
 HELD_UP = 0.5             # of a heartbeat that a tick may be late before it counts as held up
 
 
@@ -44,7 +45,8 @@
     """Times in ms, right for a local network; the same at all members."""
 
     heartbeat: float = 150.0  # four in an election's least time
-    election: float = 600.0   # least time without a leader; up to twice that, at random (3.4)
+    election: float = 600.0   # least time without a leader; up to half as much again, at random (3.4)
+    quorum: float = 450.0     # three heartbeats that no majority answers: it leads no more (6.2)
     sure: float = 300.0       # a majority's answers that `surely_leads` rests on are to words no older
 
 
@@ -229,7 +231,8 @@
 
     # ---- elections ---------------------------------------------------------------------------------------
     def _wait(self, now: float) -> float:
-        return now + self.timing.election * self._rng.uniform(1.0, 2.0)
+        # Votes are asked and given within a few ms here: a spread of 300 ms parts candidates (Ongaro 9.3).
+        return now + self.timing.election * self._rng.uniform(1.0, SPREAD)
 
     def _campaign(self, now: float, pre: bool) -> None:
         """Ask for votes; first whether it would get them, so that who was cut off raises no term (9.6)."""
@@ -283,7 +286,7 @@
             self.role = Role.LEADER
             self._tell_leader(self.me, f"{len(self._votes)} of {len(self.members)} voted for it")
             self._progress, self._rounds = {}, {}
-            self._expire_at = now + self.timing.election
+            self._expire_at = now + self.timing.quorum
             self._put(now, Kind.NOTHING)
 
     def _follow(self, now: float, term: int, leader: str, why: str) -> None:
@@ -316,15 +319,15 @@
 
     def _lead_on(self, now: float) -> None:
         if self._expire_at <= now:
-            if not self._quorum(now, self.timing.election):
-                self._follow(now, self.term, "", "no majority has answered for an election's time")
+            if not self._quorum(now, self.timing.quorum):
+                self._follow(now, self.term, "", "no majority has answered for some heartbeats")
                 return
             self._expire_at = now + self.timing.heartbeat
         if self._beat_at <= now:
             self._beat(now)
 
     def _quorum(self, now: float, within: float) -> bool:
-        """Whether a majority has answered what was sent within some ms; an election's time: 6.2.
+        """Whether a majority has answered what was sent within some ms (6.2).
 
         By the sending, not by the hearing: answers that lay unread while this process was held up prove
         nothing of now.
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -212,6 +212,7 @@
         elif isinstance(what, GaveUp):
             if self._grants is not None:
                 self._grants.gave_up(now, what)
+                self._plan()
         else:
             self._carry_out(self.raft.received(now, said.source, what))
 
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -82,19 +82,23 @@
         self.wishes = Wishes(operator, config.state, settings, config.seed)
         self.clock, lookout = self.system.clock, self.system.lookout
         self.deadlines = Deadlines(self.clock, loop, lookout)
-        duties = operator.get("fleet", {}).get("on") and operator["fleet"]["duties"]
-        room = config.disk_bytes - (AGREEMENT_BYTES if duties else 0)     # the folder's limit is for both
+        fleet = operator.get("fleet", {})
+        room = config.disk_bytes      # the folder's limit is for both
+        if fleet.get("on"):
+            from winchspan.operator.sections import agrees
+
+            room -= AGREEMENT_BYTES if agrees(fleet) else 0
         self._journal = Journal(config.state, room, self.system.disk)
         own = OWN_FILES + (ADMIN_FILES if config.admin else 0) + bool(operator.get("fleet", {}).get("on"))
         budget = self._budget = SocketBudget(config.sockets - own)
         self._figures = Figures(settings.classes)
         self.classes = dict(settings.classes)       # those in force, for whoever looks at them later
-        links = self._links = ServerLinks(loop, self.clock, self.deadlines, budget,
+        links = self.links = ServerLinks(loop, self.clock, self.deadlines, budget,
                                           to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
-        self._group = HostGroup(lambda news: self.courier.listed(news), links.part, self._journal.by_hand)
-        self._group.by_hand.update(self._journal.offline)
+        self.group = HostGroup(lambda news: self.courier.listed(news), links.part, self._journal.by_hand)
+        self.group.by_hand.update(self._journal.offline)
         self._notices = Notices(links, self.clock, self.deadlines, config.discovery)
-        hooks = self._hooks = Hooks(self._group, links, self.clock,
+        hooks = self.hooks = Hooks(self.group, links, self.clock,
                                     {n: k.per_call for n, k in settings.kinds.items()},
                                     settings.answers_report, self._figures)
         self.governor: api.Governor | None = None   # seams that parts may fill
@@ -103,7 +107,7 @@
         self.courier = Courier(settings, config.seed, self.clock, self.deadlines, self._journal, hooks,
                                Announcements(self._notices, words), loop.call_soon, self.governor,
                                self.keeper, self._figures, lookout)
-        self._watch = Watch(self._group, links, self.deadlines, config.discovery)
+        self._watch = Watch(self.group, links, self.deadlines, config.discovery)
         self._clients = ClientLinks(self.courier, self.clock, self.deadlines, budget, self._most(settings),
                                     links.retire_oldest, words, lookout)
         self._done = asyncio.Event()
@@ -118,8 +122,8 @@
         """All that an upgrade handles."""
         from winchspan.upgrade.parts import Whole
 
-        return Whole(self.clock, self.deadlines, self._journal, self._group, self.courier, self._clients,
-                     self._links, self._hooks, self._notices)
+        return Whole(self.clock, self.deadlines, self._journal, self.group, self.courier, self._clients,
+                     self.links, self.hooks, self._notices)
 
     def descriptors_left(self) -> int:
         """Of the descriptors that two processes may hold, what is left beside two sets of files."""
@@ -134,7 +138,7 @@
         """What operators can ask for."""
         from winchspan.admin.operations import Operations
 
-        return Operations(self._group, self._clients, self._counters, self._state)
+        return Operations(self.group, self._clients, self._counters, self._state)
 
     def status(self) -> dict[str, Any]:
         """How much is held and what is out, for people."""
@@ -151,7 +155,7 @@
 
     def _counters(self) -> str:
         """The figures of this moment."""
-        listed = self._group.listed()
+        listed = self.group.listed()
         gauges: dict[str, int] = {
             "current": self.courier.held, "cluster_size": len(listed),
             "cluster_unhealthy": sum(self.courier.avoided(number) for number in listed)}
@@ -170,7 +174,7 @@
         state = self._inherited.state if self._inherited is not None else {}
         if self.config.known and "group" not in state:
             try:
-                self._group.take(self.config.known, api.Scope.STALE)
+                self.group.take(self.config.known, api.Scope.STALE)
             except FieldError as err:
                 logger.error("known: {}", err)
         self.loop.set_exception_handler(_log_fault)
@@ -226,8 +230,8 @@
         """Other settings hold, everywhere in one step."""
         settings = replace(found, ends_are_heard=True, can_recall=True)
         self.courier.retune(settings)
-        self._hooks.retune({n: k.per_call for n, k in settings.kinds.items()}, settings.answers_report)
-        self._links.retune(to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
+        self.hooks.retune({n: k.per_call for n, k in settings.kinds.items()}, settings.answers_report)
+        self.links.retune(to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
         self._clients.retune(self._most(settings))
         self.classes.clear()
         self.classes.update(settings.classes)
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -9,18 +9,20 @@
 
 from loguru import logger
 
+from winchspan import interface as api
 from winchspan.config import Address, ConfigError
 from winchspan.deadlines import Deadline
 from winchspan.members.messages import Datagram, State
 from winchspan.members.swim import Action, Changed, Conflict, Restarted, Send, Swim, Timing
 from winchspan.net.fleet_link import FleetLink
 from winchspan.operator.schema import place_of
-from winchspan.operator.sections import address, member
+from winchspan.operator.sections import address, agrees, member
 from winchspan.part import Operator, Part
 
 if TYPE_CHECKING:
     from winchspan.council import Council
     from winchspan.daemon import Daemon
+    from winchspan.probing import Prober
 
 
 class FleetPart(Part):
@@ -42,17 +44,26 @@
         life = daemon.system.nonce()
         self._swim = Swim(daemon.config.name, members, life, daemon.config.seed, daemon.clock.now(), timing)
         self._council: Council | None = None
-        if values["duties"]:
+        self._prober: Prober | None = None
+        if agrees(values):
             from winchspan.agreement.store import LIMIT, StoreError
             from winchspan.council import Council
 
+            asks = next(key for key in ("duties", "probe-every", "shared-waits", "shared-resends")
+                        if values[key])
             if daemon.config.disk_bytes < 2 * LIMIT:
-                raise ConfigError(f"{place_of(values, 'duties')}: fleet.duties: the agreement's files take "
+                raise ConfigError(f"{place_of(values, asks)}: fleet.{asks}: the agreement's files take "
                                   f"{LIMIT >> 10} KiB, and limits.disk_mb leaves the journal less than that")
             try:
-                self._council = Council(daemon, members, values["duties"], secret, life, self._there)
+                self._council = Council(daemon, members, (*values["duties"], *own_duties(values)), secret,
+                                        life, self._there)
             except StoreError as err:
-                raise ConfigError(f"{place_of(values, 'duties')}: fleet.duties: {err}") from None
+                raise ConfigError(f"{place_of(values, asks)}: fleet.{asks}: {err}") from None
+            if values["probe-every"] or values["shared-waits"]:
+                from winchspan.probing import Prober
+
+                self._prober = Prober(daemon, self._council, values["probe-every"] * 1_000.0,
+                                      values["probe-path"], values["shared-waits"])
         self._link = FleetLink(members, secret, self._got)
         self._timer: Deadline | None = None
 
@@ -66,8 +77,15 @@
                 where = place_of(self._daemon.wishes.operator["fleet"], "listen")
                 raise ConfigError(f"{where}: fleet.listen: {self._link.members[self._swim.me]}, TCP: "
                                   f"{err.strerror}") from None
+        if self._prober is not None:
+            self._prober.start()
         self._tick()
 
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings hold."""
+        if self._prober is not None:
+            self._prober.retune(settings)
+
     def reread(self, operator: Operator) -> None:
         """The operator's file has been read again: members may have come, or gone for good."""
         values = operator["fleet"]
@@ -95,7 +113,8 @@
         return {"fleet": {"incarnation": self._swim.incarnation, "health": self._swim.sick,
                           "conflict": self._swim.conflict, "members": members,
                           "dropped": dict(self._dropped())}
-                | (self._council.status() if self._council is not None else {})}
+                | (self._council.status() if self._council is not None else {})
+                | (self._prober.status() if self._prober is not None else {})}
 
     def figures(self) -> dict[str, int]:
         """Members by state, this courier among them, its own health, and frames dropped by cause."""
@@ -104,6 +123,8 @@
                   "fleet.frames.received": self._link.received}
         if self._council is not None:
             found |= self._council.figures()
+        if self._prober is not None:
+            found |= self._prober.figures()
         return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in self._dropped().items()}
 
     def _dropped(self) -> Counter[str]:
@@ -116,6 +137,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self._link.close()
+        if self._prober is not None:
+            self._prober.close()
         if self._council is not None:
             self._council.close()
         self._socket.close()
@@ -153,6 +176,15 @@
             self._timer = self._daemon.deadlines.add(self._swim.next_at, self._tick)
 
 
+def own_duties(values: Mapping[str, Any]) -> tuple[str, ...]:
+    """The duties of the courier's own that a section `fleet` asks for."""
+    if not values["probe-every"]:
+        return ()
+    from winchspan.duties.probes import duties
+
+    return duties()
+
+
 def fleet_members(values: Mapping[str, Any], name: str) -> dict[str, Address]:
     """The members of the section `fleet`; raises ConfigError unless this courier is one of them."""
     members = dict(map(member, values["members"]))
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -322,7 +322,8 @@
     def __init__(self, intake: Intake, clock: Clock, deadlines: Deadlines, budget: SocketBudget, most: int,
                  make_room: Callable[[], bool], words: bool = False, lookout: Lookout | None = None) -> None:
         self.intake, self.lookout = intake, lookout or Lookout()
-        self._waiting: float | None = self.lookout.since     # since when some may wait to be accepted
+        self._waiting: float | None = self.lookout.since     # since when some may wait to be accepted,
+        self._look = 0                                       # and at which look that was looked at again
         self._words = words               # whether refusals are told in words, too
         self.closing = self._stopping = False
         self.drained = False              # operators have taken this courier out of service
@@ -374,7 +375,7 @@
 
     def _resume(self) -> None:
         if self._loop is not None and self._socket is not None and not self._accepting and not self._held:
-            self._accepting = True
+            self._accepting, self._look = True, self.lookout.looks
             self._loop.add_reader(self._socket, self._accept)  # type: ignore[arg-type]
 
     def _pause(self) -> None:
@@ -391,6 +392,7 @@
         """
         assert self._socket is not None and self._loop is not None
         self._waiting = came = self._came()
+        self._look = self.lookout.looks
         for _ in range(AT_ONCE):
             if not self._room():
                 self._pause()              # until a link is gone or has become unused
@@ -417,8 +419,9 @@
 
     def _came(self) -> float:
         """After when those that wait to be accepted have come."""
-        since = self.lookout.since
-        return since if self._waiting is None else min(since, self._waiting)
+        if self._waiting is None:
+            return self.lookout.since
+        return self.lookout.came(self._waiting, self._look)
 
     async def _adopt(self, loop: asyncio.AbstractEventLoop, link: ClientLink, client: socket.socket) -> None:
         try:
--- a/winchspan/net/fleet_stream.py
+++ b/winchspan/net/fleet_stream.py
@@ -262,7 +262,8 @@
             assert self._loop is not None
             _, peer = await asyncio.wait_for(self._loop.create_connection(
                 lambda: Peer(self, name), address.host, address.port), HELLO_WITHIN / 1_000.0)
-            self._stranger(peer)
+            if not peer.closed:               # it may be over already
+                self._stranger(peer)
         except (OSError, TimeoutError):
             pass
         finally:
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -34,6 +34,10 @@
         self._figures = figures or Figures()
         self._group, self._links, self._clock, self._kinds = group, links, clock, kinds
         self._reports = reports           # whether the settings say that answers hold load reports
+        # Seams of a fleet: for how many ms a destination wants nothing though this courier has not heard it
+        # say so, and whoever is to know what it has said here.
+        self.bar: Callable[[int], float] | None = None
+        self.on_wait: Callable[[int, float], None] | None = None
 
     def retune(self, kinds: dict[str, int], reports: bool) -> None:
         """Other settings: messages that a call may hold by kind, and whether answers hold load reports."""
@@ -43,17 +47,27 @@
               done: Callable[[list[Verdict]], None]) -> Call:
         """Begin a call; `done` gets a verdict for each parcel."""
         host = self._group.hosts[endpoint]
+        if self.bar is not None and (left := self.bar(host.dest)) > 0.0:
+            verdicts = [Verdict(api.Outcome.NOT_SENT, wait_ms=left)] * len(parcels)
+            return self._links.later(lambda: done(verdicts))
         patience = max(0.0, until - self._clock.now()) / 1_000.0
         if len(parcels) == 1:
             pieces = _one(parcels[0], str(host.address), patience)
         else:
             pieces = _many(parcels, str(host.address), patience)
         call = self._links.call(host.peer, pieces, until,
-                                lambda end: done(read(end, parcels, self._reports)), begin_by=begin_by,
+                                lambda end: done(self._read(end, parcels, host.dest)), begin_by=begin_by,
                                 out=lambda: self._figures.sent(len(parcels)))
         call.about = parcels
         return call
 
+    def _read(self, end: CallEnd, parcels: list[Parcel], dest: int) -> list[Verdict]:
+        """The verdicts; a wait that was told is passed on."""
+        found = read(end, parcels, self._reports)
+        if self.on_wait is not None and found and found[0].wait_ms > 0.0:
+            self.on_wait(dest, found[0].wait_ms)
+        return found
+
     def adopt(self, sock: socket.socket, call: Call, handed: HandedCall,
               done: Callable[[list[Verdict]], None]) -> None:
         """Go on with a call that another process has written; `done` gets a verdict for each parcel."""
@@ -142,6 +156,11 @@
     return verdicts
 
 
+def told_to_wait(end: CallEnd) -> float:
+    """Milliseconds that an answer tells to wait, whatever the call was; 0 for none."""
+    return _wait(end.answer.headers.get("x-ratelimit-wait-ms", "")) if end.answer is not None else 0.0
+
+
 def _wait(text: str) -> float:
     """Milliseconds to wait; 0 if none is told or it cannot be read."""
     try:
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -168,6 +168,10 @@
         """The numbers of the endpoints in the list."""
         return [host.number for host in self.hosts.values() if host.listing is not api.Listing.GONE]
 
+    def in_service(self) -> list[Host]:
+        """The endpoints that new calls may go to, as the list and operators have it at this moment."""
+        return [host for host in self.hosts.values() if self._row(host).listing is api.Listing.IN_SERVICE]
+
     def _forget(self) -> None:
         """Of those off the list drop the first known; guards against a table that grows without end."""
         for name in list(self._ever)[:max(0, len(self._ever) - _EVER_KEPT)]:
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -74,7 +74,7 @@
     """One request on its way, from `ServerLinks.call` until its end is told."""
 
     __slots__ = ("pieces", "done", "parser", "link", "timers", "ending", "bounded", "begin_by",
-                 "whole_by", "out", "about")
+                 "whole_by", "out", "about", "may")
 
     def __init__(self, pieces: list[bytes], done: Callable[[CallEnd], None], parser: AnswerParser,
                  bounded: bool, begin_by: float | None) -> None:
@@ -89,6 +89,7 @@
         self.whole_by: Deadline | None = None
         self.out: Callable[[], None] | None = None     # called once its last byte is written
         self.about: Any = None            # what its carrier needs to read the answer
+        self.may: Callable[[], bool] | None = None     # asked right before its first byte is written
 
     @classmethod
     def adopted(cls) -> Call:
@@ -212,6 +213,9 @@
         if self.call.begin_by is not None and self._pool.now() >= self.call.begin_by:
             self.call.recall()     # guards against a loop that is late, whose timer has not fired yet
             return
+        if self.call.may is not None and not self.call.may():
+            self.call.recall()     # guards against a right to act that ended while the connection came up
+            return
         self._transport.writelines(self.call.pieces)
         if self._transport.get_write_buffer_size() == 0:
             self._wrote()
@@ -365,13 +369,14 @@
 
     def call(self, peer: Peer, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
              on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None,
-             out: Callable[[], None] | None = None) -> Call:
+             out: Callable[[], None] | None = None, may: Callable[[], bool] | None = None) -> Call:
         """Write a request on a warm link, or else on a new one; `done` gets its end.
 
-        What has not been written by `begin_by` is taken back. `out` is called once its last byte is written.
+        What has not been written by `begin_by` is taken back, and so is what `may` does not allow right
+        before its first byte. `out` is called once its last byte is written.
         """
         call = Call(pieces, done, AnswerParser(on_body), on_body is None, begin_by)
-        call.out = out
+        call.out, call.may = out, may
         call.timers.append(self._deadlines.add(until, lambda: call.stop(Fate.TIMED_OUT)))
         if begin_by is not None:
             call.timers.append(self._deadlines.add(begin_by, call.recall))
@@ -394,6 +399,11 @@
         link.connect(self._loop)
         return call
 
+    def later(self, action: Callable[[], None]) -> Call:
+        """A call that is never written: its end is told in the next turn, by `action`."""
+        self._deadlines.after(0.0, action)
+        return Call([], lambda end: None, AnswerParser(), True, None)
+
     # ---- upgrade -----------------------------------------------------------------------------------------
     def take_back(self) -> None:
         """Take back what is not written."""
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -94,6 +94,11 @@
         raise ValueError(f"expected HOST:PORT, not {text!r:.80}") from None
 
 
+def agrees(values: Mapping[str, Any]) -> bool:
+    """Whether a section `fleet` asks for something that rests on an agreement."""
+    return any(values[key] for key in ("duties", "probe-every", "shared-waits", "shared-resends"))
+
+
 def _fleet(values: dict[str, Any]) -> Iterator[tuple[str, str]]:
     """What is wrong with a fleet."""
     if not values["on"]:
@@ -121,6 +126,12 @@
     for name in values["duties"]:
         if not MEMBER.fullmatch(name):
             yield "duties", f"expected names of up to 64 letters, digits, - and _, not {name!r:.80}"
+        if name.startswith(("probes-", "resends")):
+            yield "duties", f"{name!r} is the name of one of the courier's own"
+    if 0.0 < values["probe-every"] < 0.5:
+        yield "probe-every", f"expected 0, or 0.5 s at least, not {values['probe-every']:g}"
+    if not values["probe-path"].startswith("/") or not values["probe-path"].isprintable():
+        yield "probe-path", f"expected a path, not {values['probe-path']!r:.80}"
     if values["answer"] * 3 > values["period"]:
         yield "answer", (f"must be a third of fleet.period, {values['period']:g} s, at most, not "
                          f"{values['answer']:g} s: others are asked within the period")
@@ -138,6 +149,11 @@
     Key("answer", float, 0.08, "for its answer, before others are asked to ping it", "s", 0.01, 20),
     Key("suspicion", float, 4.0, "least time that a member is suspected, times log10 of the fleet's size",
         "periods", 1, 1_000),
+    Key("probe-every", float, 0.0, "between two probes of an endpoint, by one courier for all; 0: none", "s",
+        0.0, 86_400),
+    Key("probe-path", str, "/-/healthy", "what a probe asks for"),
+    Key("shared-waits", bool, False, "a wait that a partner tells one courier binds all of them"),
+    Key("shared-resends", bool, False, "the rules of `resend` count for the fleet, not for each courier"),
     Key("duties", tuple, (), "names of duties, each of which is one courier's at a time", of=str),
 ), rule=_fleet)
 
--- a/winchspan/owners/leases.py
+++ b/winchspan/owners/leases.py
@@ -35,7 +35,7 @@
 class Timing:
     """Times in ms; the same at all members."""
 
-    lease: float = 900.0
+    lease: float = 750.0      # three tries to have it go on, 225 ms apart (council.BEAT), and some
     drift: float = 0.01       # a hundred times what a quartz is allowed
     election: float = 600.0   # the agreement's least, and twice that its most
     sure: float = 300.0       # the agreement's: how old the answers may be that a renewal rests on
@@ -217,8 +217,8 @@
             epoch, lives = grant.epoch, there.get(grant.owner) == grant.life
             if self._moving.get(duty, epoch) != epoch:
                 del self._moving[duty]                      # it has moved
-            if lives and grant.owner == to:
-                continue
+            if lives and grant.owner == to and duty not in self._moving:
+                continue                               # one that was asked to let go gets it anew
             if not lives or duty in self._moving:
                 if now >= self.over_at(duty, epoch):
                     self._closed.add((duty, epoch))
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -17,6 +17,7 @@
 
 from winchspan.standins.platform import platform, wire
 from winchspan.standins.rehearsal import ends_with_its_parent
+from winchspan.standins.relay import Relay
 
 HOST = "127.0.0.1"
 PATIENCE = 60.0           # s: far more than anything takes; no verdict hangs on it
@@ -56,8 +57,9 @@
 class FleetCourier:
     """One courier's process, with its folder, its front for operators, and its place in the fleet."""
 
-    def __init__(self, folder: Path, name: str, listen: int, admin: int, discovery: int = 9) -> None:
-        self.folder, self.name, self._discovery = folder, name, discovery
+    def __init__(self, folder: Path, name: str, listen: int, admin: int, discovery: int = 9,
+                 known: dict[str, object] | None = None) -> None:
+        self.folder, self.name, self._discovery, self._known = folder, name, discovery, known or {}
         self.listen, self.admin = listen, admin
         self.fleet = ""           # the section of the operator's file
         self.process: subprocess.Popen[bytes] | None = None
@@ -69,7 +71,7 @@
         (self.folder / "config.json").write_text(json.dumps({
             "name": self.name, "listen": f"{HOST}:{self.listen}", "admin": f"{HOST}:{self.admin}",
             "discovery": f"{HOST}:{self._discovery}", "state": str(self.folder / "state"), "seed": "1",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3}, "known": {},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3}, "known": self._known,
             "settings": wire(platform(couriers))}))
 
     def start(self) -> None:
@@ -107,6 +109,12 @@
         pairs = (line.partition("|")[0].rpartition(":") for line in lines)
         return {name.removeprefix("courier."): int(value) for name, _, value in pairs}
 
+    def operate(self, path: str) -> None:
+        """Call its front for operators; raises OSError for a no."""
+        url = f"http://{HOST}:{self.admin}/control/{path}"
+        with urllib.request.urlopen(urllib.request.Request(url, method="POST"), timeout=5.0):
+            pass
+
     def duties(self) -> dict[str, int]:
         """The duties that it may do at this moment, with their epochs."""
         return {name.removeprefix("fleet.duty."): epoch for name, epoch in self.figures().items()
@@ -123,19 +131,40 @@
 class Fleet:
     """Some couriers that know of each other, `n0` and on."""
 
-    def __init__(self, folder: Path, size: int, more: str = "") -> None:
-        """Write all files; nobody runs yet. `more` stands in each section `fleet`."""
-        ports = free_ports(3 * size)      # all at once: none is drawn twice
+    def __init__(self, folder: Path, size: int, more: str = "", relayed: bool = False, seed: int = 1,
+                 discovery: int = 9, known: dict[str, object] | None = None) -> None:
+        """Write all files; nobody runs yet.
+
+        Args:
+            folder: for all that they keep.
+            size: couriers.
+            more: stands in each section `fleet`.
+            relayed: whether a relay stands between each two of them.
+            seed: of the relay's harm.
+            discovery: port of the couriers' agent.
+            known: the list of endpoints as last seen.
+        """
+        pairs = [(f"n{a}", f"n{b}") for a in range(size) for b in range(size) if a != b] if relayed else []
+        ports = free_ports(3 * size + len(pairs))      # all at once: none is drawn twice
         self.ports = {f"n{number}": port for number, port in enumerate(ports[:size])}
-        self.couriers = {name: FleetCourier(folder / name, name, *ports[size + 2 * n:size + 2 * n + 2])
-                         for n, name in enumerate(self.ports)}
+        self.couriers = {name: FleetCourier(folder / name, name, ports[size + 2 * n], ports[size + 2 * n + 1],
+                                            discovery, known or {}) for n, name in enumerate(self.ports)}
+        self._ways = dict(zip(pairs, ports[3 * size:], strict=True))
+        self._relay = Relay(self.ports, self._ways, seed) if relayed else None
         self._more = more
         self.section(list(self.ports))
 
+    @property
+    def relay(self) -> Relay:
+        """What stands between them."""
+        assert self._relay is not None
+        return self._relay
+
     def section(self, names: list[str]) -> None:
         """Name these the members, in everybody's file."""
-        members = " ".join(f'"{name}={HOST}:{self.ports[name]}"' for name in names)
         for name, courier in self.couriers.items():
+            members = " ".join(f'"{other}={HOST}:{self._ways.get((name, other), self.ports[other])}"'
+                               for other in names)
             courier.fleet = (f'(fleet (on yes) (listen "{HOST}:{self.ports[name]}")\n'
                              f'       (members {members}) {self._more})\n')
             courier.write(len(names))
@@ -163,3 +192,5 @@
             if courier.process is not None:
                 courier.process.send_signal(signal.SIGCONT)
                 courier.kill()
+        if self._relay is not None:
+            self._relay.close()
--- a/winchspan/standins/owners_world.py
+++ b/winchspan/standins/owners_world.py
@@ -43,7 +43,8 @@
         self.moves: list[tuple[float, str, str]] = []
         self.fence = Fence()
         drifts = random.Random(seed)
-        super().__init__(names, seed, AgreementTiming(election=self.leasing.election, sure=self.leasing.sure), **how)
+        timing_ = AgreementTiming(election=self.leasing.election, sure=self.leasing.sure)
+        super().__init__(names, seed, timing_, **how)
         for place in self.places.values():
             place.rate = 1.0 + drifts.uniform(-drift, drift)
         self._later(0.0, self._beat)
@@ -154,7 +155,8 @@
                 mine = action.leader == place.name
                 if desk.grants is not None:
                     desk.latest = desk.grants.latest
-                desk.grants = Grants(self.local(place), self.duties, self.leasing, desk.latest) if mine else None
+                desk.grants = None if not mine else Grants(self.local(place), self.duties, self.leasing,
+                                                           desk.latest)
             elif isinstance(action, Restore):
                 desk.ledger.restore(action.snapshot.data)
 
--- /dev/null
+++ b/winchspan/standins/probed.py
@@ -0,0 +1,134 @@
+"""Endpoints that are probed, and what they saw: who probed which, when, under which epoch, and how apart.
+
+They run on a thread of their own. What is judged is judged from outside: by what arrived.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from dataclasses import dataclass
+
+from winchspan.standins.platform import KIND
+from winchspan.standins.sockets import HOST, Request, answer, read_request
+
+
+@dataclass(frozen=True, slots=True)
+class Act:
+    """A probe as it came; `at` in seconds of the system's clock that only moves forward."""
+
+    at: float
+    endpoint: str
+    duty: str
+    epoch: int
+    turn: int
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a run's probes came to."""
+
+    acts: int
+    twice: list[tuple[Act, str]]      # nearer to the one before than a turn: done twice; and how
+    late: list[tuple[Act, str]]       # later than so many seconds after their turn
+    old: list[tuple[Act, str]]        # under an earlier epoch than one that was seen before
+    worst: float              # seconds, the latest
+
+
+def judge(acts: list[Act], gap: float, late: float, until: float, slack: float = 0.1) -> Verdict:
+    """Judge all probes of endpoints whose turn is `gap` seconds after the one before.
+
+    Args:
+        acts: as they came.
+        gap: seconds.
+        late: seconds after its turn from which a probe is late.
+        until: when the run ended; a turn that was due and not done by then counts too.
+        slack: share of the gap by which a probe may be early: the way takes its time, too.
+    """
+    last: dict[str, Act] = {}
+    epochs: dict[str, int] = {}
+    worst, twice, old, too_late = 0.0, *(list[tuple[Act, str]]() for _ in range(3))
+    for act in sorted(acts, key=lambda a: a.at):
+        if act.epoch < epochs.get(act.duty, 0):
+            old.append((act, f"{act} after epoch {epochs[act.duty]}"))
+        epochs[act.duty] = max(act.epoch, epochs.get(act.duty, 0))
+        if (before := last.get(act.endpoint)) is not None:
+            apart = act.at - before.at
+            if apart < gap * (1.0 - slack):
+                twice.append((act, f"{act} {apart:.3f} s after {before}"))
+            worst = max(worst, apart - gap)
+            if apart > gap + late:
+                too_late.append((act, f"{act} {apart:.3f} s after {before}"))
+        last[act.endpoint] = act
+    for act in last.values():
+        worst = max(worst, until - act.at - gap)
+        if until - act.at > gap + late:
+            too_late.append((act, f"none within {until - act.at:.3f} s after {act}"))
+    return Verdict(len(acts), twice, too_late, old, worst)
+
+
+class Probed:
+    """Some partners, one endpoint each."""
+
+    def __init__(self, count: int, rate: float) -> None:
+        """Open them; `rate` is what the list says that each takes from all couriers, calls a second."""
+        self._count, self._rate = count, rate
+        self.acts: list[Act] = []
+        self.answers: dict[str, tuple[int, tuple[tuple[str, str], ...]]] = {}     # other than 200
+        self.calls: list[tuple[float, str]] = []       # messages: when, and to which endpoint
+        self.ports: dict[str, int] = {}
+        self._servers: list[asyncio.Server] = []
+        self._open: set[asyncio.StreamWriter] = set()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result(30.0)
+
+    async def _start(self) -> None:
+        for number in range(self._count):
+            name = f"s-{number}"
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                            name: str = name) -> None:
+                self._open.add(writer)
+                try:
+                    while (request := await read_request(reader)) is not None:
+                        writer.write(self._answer(name, request))
+                except OSError:
+                    pass
+                finally:
+                    self._open.discard(writer)
+                    writer.close()
+            server = await asyncio.start_server(serve, HOST, 0)
+            self._servers.append(server)
+            self.ports[name] = int(server.sockets[0].getsockname()[1])
+
+    def _answer(self, name: str, request: Request) -> bytes:
+        if "x-probe" in request.headers:
+            duty, epoch, turn, owner = request.headers["x-probe"].split()
+            self.acts.append(Act(time.monotonic(), name, duty, int(epoch), int(turn), owner))
+        else:
+            self.calls.append((time.monotonic(), name))
+        status, headers = self.answers.get(name, (200, ()))
+        return answer(status, b"", headers)
+
+    def known(self, but: tuple[str, ...] = ()) -> dict[str, object]:
+        """The list of them, as discovery has it; some are left out of service."""
+        return {"seq": 1, "whole": True, "hosts": [
+            {"host": name, "dial": f"{HOST}:{port}", "site": "a", "class": KIND, "block": number,
+             "health": "draining" if name in but else "up", "share": self._rate, "born_ms": 0}
+            for number, (name, port) in enumerate(self.ports.items())]}
+
+    def close(self) -> None:
+        """End."""
+        async def run() -> None:
+            for server in self._servers:
+                server.close()
+            for writer in list(self._open):
+                writer.transport.abort()
+            await asyncio.sleep(0)
+        asyncio.run_coroutine_threadsafe(run(), self._loop).result(10.0)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10.0)
