--- a/tests/test_fleet_stream.py
+++ b/tests/test_fleet_stream.py
@@ -27,7 +27,8 @@
         self.up: list[str] = []
         loop = asyncio.get_running_loop()
         self.streams = FleetStreams(name, members, secret, lambda *what: self.got.append(what),
-                                    self.up.append, lambda ms, call: loop.call_later(ms / 1_000.0, call))
+                                    self.up.append, lambda ms, call: loop.call_later(ms / 1_000.0, call),
+                                    System().token)
         own = members[name]
         self.streams.open(loop, System().listen(own.host, own.port))
 
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -44,7 +44,7 @@
     "ask": Ask, "renewal": Renewal, "give-up": GiveUp, "gave-up": GaveUp}
 _NAMES = {of: kind for kind, of in _KINDS.items()}
 _READERS = {kind: msgspec.msgpack.Decoder(of) for kind, of in _KINDS.items()}
-_ENCODER = msgspec.msgpack.Encoder()
+_ENCODER = msgspec.msgpack.Encoder(order="deterministic")    # who votes is a set: the same bytes each time
 
 
 class _Here(msgspec.Struct):
@@ -96,7 +96,8 @@
         self._met: list[Callable[[str], None]] = []
         self._timer: Deadline | None = None
         self._streams = FleetStreams(self._name, members, secret, self._got, self._connected,
-                                     lambda ms, call: daemon.deadlines.after(ms, call))
+                                     lambda ms, call: daemon.deadlines.after(ms, call),
+                                     daemon.system.token)
 
     def _now(self) -> float:
         return self._daemon.clock.through_sleep()
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -21,7 +21,7 @@
 from winchspan.net.host_group import HostGroup, Watch
 from winchspan.net.notices import Notice, Notices
 from winchspan.net.server_link import ServerLinks, SocketBudget
-from winchspan.part import Operator, Wishes
+from winchspan.part import Operator, Part, Wishes
 from winchspan.parts import chosen
 from winchspan.settings import FieldError
 from winchspan.system import Listener, System
@@ -117,6 +117,11 @@
         """How many client links there may be; the rest is for server links."""
         return max(self._budget.limit // 2, self._budget.limit - settings.slots - 4)
 
+    @property
+    def parts_in_use(self) -> list[Part]:
+        """The optional parts, in the order in which all are called."""
+        return self._parts
+
     # ---- what parts ask for ------------------------------------------------------------------------------
     def parts(self) -> Whole:
         """All that an upgrade handles."""
--- a/winchspan/emulator/loop.py
+++ b/winchspan/emulator/loop.py
@@ -5,16 +5,23 @@
 import asyncio
 from collections.abc import Callable
 from contextvars import Context
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from winchspan.emulator.machine import Life
+from typing import Any, Protocol
 
 NS = 1_000_000_000
 BEGIN_NS = 1_000 * NS     # the first reading
 LEAST = 1e-9              # s: no timer fires at the very reading at which it was set, unless its delay is 0
 
 
+class Outside(Protocol):
+    """What connects for whoever belongs to no machine."""
+
+    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None) -> Any:
+        """Connect; raises OSError."""
+
+    async def create_server(self, protocol_factory: Any, host: Any = None, port: Any = None) -> Any:
+        """Accept whoever comes."""
+
+
 class Stuck(RuntimeError):
     """Nothing is ready and nothing is due: what waits would wait for ever."""
 
@@ -41,7 +48,7 @@
         super().__init__()
         self._selector = _Jump(self)
         self._clock_resolution = LEAST
-        self.outside: Life | None = None
+        self.outside: Outside | None = None
 
     # ---- time --------------------------------------------------------------------------------------------
     def time(self) -> float:
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -14,7 +14,7 @@
 
 from winchspan.clock import Clock
 from winchspan.emulator.loop import EmulatedLoop
-from winchspan.emulator.network import EmulatedListener, End, Network
+from winchspan.emulator.network import EmulatedDatagrams, EmulatedListener, End, Network
 from winchspan.interface import Settings
 from winchspan.lookout import Lookout
 from winchspan.standins.inline import InlineKeeper
@@ -164,6 +164,18 @@
         """Listen on the emulated network."""
         return self._life.listen(port)
 
+    def datagrams(self, host: str, port: int) -> Any:
+        """A datagram socket of the emulated network."""
+        return self._life.bind(port)
+
+    def token(self) -> bytes:
+        """16 bytes that tell this life's connections apart, the same in each run."""
+        return self._life.draw.randbytes(16)
+
+    def nonce(self) -> int:
+        """A number that tells this life from others, the same in each run."""
+        return self._life.draw.randrange(1, 1 << 52)
+
 
 class Life:
     """The loop as one life of a program sees it; once it is over, nothing of it runs any more.
@@ -180,8 +192,11 @@
         self._signals: dict[int, Callable[[], object]] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._on_end: list[Callable[[], None]] = []
+        self.draw = random.Random(f"{self.place} {self.number}")
+        self._bound: list[EmulatedDatagrams] = []
         self.lookout = Lookout()
         self.held = False                     # it hangs: what comes and what is due waits
+        self._held_since = 0.0
         self._came: list[Callable[[], None]] = []
         self._late: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
 
@@ -199,14 +214,26 @@
             listener.close()
         for end in self._ends:
             end.dead()
+        for sock in self._bound:
+            sock.close()
         for action in self._on_end:
             action()
 
     def hang(self, lasts: float) -> None:
         """Hold it for some ms, as SIGSTOP or a busy core does; then what has come is read first."""
         if self.alive and not self.held:
-            self.held = True
-            self._loop.call_later(lasts / 1_000.0, self._wake, self.machine.clock.now())
+            self.freeze()
+            self._loop.call_later(lasts / 1_000.0, self.thaw)
+
+    def freeze(self) -> None:
+        """Hold it until it is thawed."""
+        if not self.held:
+            self.held, self._held_since = True, self.machine.clock.now()
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        if self.held:
+            self._wake(self._held_since)
 
     def once_awake(self, action: Callable[[], None]) -> bool:
         """Whether it hangs; if so, something that has come is done once it does not."""
@@ -316,6 +343,19 @@
         self._listeners.append(listener)
         return listener
 
+    def bind(self, port: int) -> EmulatedDatagrams:
+        """A datagram socket; raises OSError."""
+        found = self._net.bind(self, port)
+        self._bound.append(found)
+        return found
+
+    async def create_datagram_endpoint(self, protocol_factory: Any, *, sock: EmulatedDatagrams,
+                                       **options: Any) -> tuple[EmulatedDatagrams, Any]:
+        """Give a datagram socket to a protocol."""
+        protocol = protocol_factory()
+        sock.attach(protocol)
+        return sock, protocol
+
     def _adopt(self, end: End, factory: Callable[[], Any]) -> tuple[End, Any]:
         self._ends = [*(one for one in self._ends if not one.over), end]
         protocol = factory()
--- a/winchspan/emulator/network.py
+++ b/winchspan/emulator/network.py
@@ -14,21 +14,35 @@
 from dataclasses import dataclass
 from hashlib import sha256
 from struct import Struct
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 import numpy as np
 
 from winchspan.emulator.loop import NS, EmulatedLoop
 
-if TYPE_CHECKING:
-    from winchspan.emulator.machine import Life
-
 HOST = "127.0.0.1"
 FIRST_PORT = 20_000
 WINDOW = 65_536           # bytes that may be on their way, or unread, in one direction
 HIGH = 65_536             # bytes to be written from which a protocol is told to pause
 _MARK = Struct("<QIBI")   # ns, number of the connection, what it is and which way, length
 DATA, END, RESET, OPEN = range(4)
+DATAGRAM = 9              # a kind of its own, beside those that hold a side in their last bit
+SOCKET_HOLDS = 200        # datagrams that wait at a program that hangs; more are lost
+
+
+class Program(Protocol):
+    """Whoever has ends and sockets of the network: one life of a program."""
+
+    @property
+    def place(self) -> str:
+        """Where it runs."""
+
+    @property
+    def alive(self) -> bool:
+        """Whether it is not over."""
+
+    def once_awake(self, action: Callable[[], None]) -> bool:
+        """Whether it hangs; if so, something that has come is done once it does not."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +52,8 @@
     latency: float = 0.2
     jitter: float = 0.0       # mean of an exponential delay beside it
     bandwidth: float = 0.0
+    loss: float = 0.0         # share of the datagrams that are lost
+    doubled: float = 0.0      # share of them that come twice
 
 
 class Trace:
@@ -88,8 +104,10 @@
             torn: whether reads and writes break at random boundaries.
         """
         self.loop, self.trace = loop, Trace()
-        delays, tears = np.random.SeedSequence(seed).spawn(2)
+        delays, tears, harm = np.random.SeedSequence(seed).spawn(3)
         self._delays, self._tears = np.random.default_rng(delays), np.random.default_rng(tears)
+        self._losses = np.random.default_rng(harm)
+        self._bound: dict[int, EmulatedDatagrams] = {}
         self._way, self.torn = way or Way(), torn
         self._ways: dict[tuple[str, str], Way] = {}
         self._cut: set[tuple[str, str]] = set()
@@ -122,6 +140,11 @@
         self._cut.discard((source, target))
         self._release()
 
+    def heal_all(self) -> None:
+        """Let all that has been held pass, and all that comes."""
+        self._cut.clear()
+        self._release()
+
     def power(self, place: str, on: bool) -> None:
         """Switch a place off, or on again; what reaches it while it is off is lost."""
         if on:
@@ -154,7 +177,7 @@
             if self._next_port not in self._listeners:
                 return self._next_port
 
-    def listen(self, life: Life, port: int) -> EmulatedListener:
+    def listen(self, life: Program, port: int) -> EmulatedListener:
         """Listen; raises OSError if the port is taken."""
         port = port or self.free_port()
         if port in self._listeners:
@@ -173,8 +196,41 @@
             del self._listeners[listener.port]
 
     # ---- carrying ----------------------------------------------------------------------------------------
-    def send(self, source: str, target: str, size: int, after: int, action: Callable[[], None]) -> int:
-        """Let something arrive, no sooner than at `after` ns; returns when it will, if nothing is cut."""
+    def bind(self, life: Program, port: int) -> EmulatedDatagrams:
+        """A datagram socket at a port; raises OSError if it is taken."""
+        if port in self._bound:
+            raise OSError(98, "Address already in use")
+        self._places.setdefault(port, life.place)
+        found = self._bound[port] = EmulatedDatagrams(self, life, port)
+        return found
+
+    def unbind(self, sock: EmulatedDatagrams) -> None:
+        """The socket is closed."""
+        if self._bound.get(sock.port) is sock:
+            del self._bound[sock.port]
+
+    def datagram(self, sock: EmulatedDatagrams, port: int, data: bytes) -> None:
+        """Carry a datagram, or lose it, or carry it twice."""
+        target = self._places.get(port, "outside")
+        way = self._ways.get((sock.place, target), self._way)
+        lost = way.loss > 0.0 and float(self._losses.random()) < way.loss
+        if lost or (sock.place, target) in self._cut:
+            return
+
+        def arrive() -> None:
+            found = self._bound.get(port)
+            if found is not None:
+                self.trace.note(self.loop.ns, port, DATAGRAM, data)
+                found.received(data, (HOST, sock.port))
+        for _ in range(2 if way.doubled > 0.0 and float(self._losses.random()) < way.doubled else 1):
+            self.send(sock.place, target, len(data), 0, arrive, held=False)
+
+    def send(self, source: str, target: str, size: int, after: int, action: Callable[[], None],
+             held: bool = True) -> int:
+        """Let something arrive, no sooner than at `after` ns; returns when it will, if nothing is cut.
+
+        What comes to a way that is cut is held until that is healed, or else lost.
+        """
         way = self._ways.get((source, target), self._way)
         took = way.latency + (float(self._delays.exponential(way.jitter)) if way.jitter > 0.0 else 0.0)
         at = max(after + 1, self.loop.ns + int(took * 1e6))     # timers of one reading have no order
@@ -183,7 +239,8 @@
 
         def arrive() -> None:
             if (source, target) in self._cut:
-                self._held.append(((source, target), arrive))
+                if held:
+                    self._held.append(((source, target), arrive))
             elif source not in self.dark and target not in self.dark:
                 action()
         self.loop.call_at(at / NS, arrive)
@@ -193,7 +250,7 @@
         """How much of so many bytes goes at once."""
         return int(self._tears.integers(1, size, endpoint=True)) if self.torn and size > 1 else size
 
-    def connect(self, life: Life, port: int) -> asyncio.Future[End]:
+    def connect(self, life: Program, port: int) -> asyncio.Future[End]:
         """Begin to connect. The future fails if nobody listens, and never ends if nothing comes back."""
         up: asyncio.Future[End] = self.loop.create_future()
         listener = self._listeners.get(port)
@@ -255,7 +312,7 @@
         super().__init__()
         self._net, self._number, self.side, self.place = network, number, side, place
         self.peer: End
-        self.life: Life | None = None
+        self.life: Program | None = None
         self.over = False                     # closed here; what still comes is answered with a reset
         self.last_at = 0                      # when what was sent last arrives
         self._protocol: Any = None
@@ -268,7 +325,7 @@
         self._high = HIGH
 
     # ---- attaching ---------------------------------------------------------------------------------------
-    def attach(self, life: Life, protocol: Any) -> None:
+    def attach(self, life: Program, protocol: Any) -> None:
         """Give the end to a protocol; what has come already is read next."""
         self.life, self._protocol = life, protocol
         protocol.connection_made(self)
@@ -501,10 +558,58 @@
             self._net.loop.call_soon(peer._on)
 
 
+class EmulatedDatagrams(asyncio.DatagramTransport):
+    """A datagram socket, and the transport that a loop makes of it."""
+
+    def __init__(self, network: Network, life: Program, port: int) -> None:
+        super().__init__()
+        self._net, self.life, self.port, self.place = network, life, port, life.place
+        self._protocol: Any = None
+        self._closed = False
+        self._held = 0
+
+    def attach(self, protocol: Any) -> None:
+        """Give what comes to a protocol."""
+        self._protocol = protocol
+        protocol.connection_made(self)
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        """Send to a host and port."""
+        if not self._closed and self.life.alive:
+            self._net.datagram(self, int(addr[1]), bytes(data))
+
+    def received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """One has come; at a program that hangs it waits, as far as the socket holds it."""
+        if self._closed or self._protocol is None or not self.life.alive:
+            return
+        if self._held < SOCKET_HOLDS and self.life.once_awake(lambda: self._late(data, addr)):
+            self._held += 1
+        elif not self._held:
+            self._protocol.datagram_received(data, addr)
+
+    def _late(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._held -= 1
+        if not self._closed and self.life.alive:
+            self._protocol.datagram_received(data, addr)
+
+    def get_write_buffer_size(self) -> int:
+        """The network takes all at once."""
+        return 0
+
+    def is_closing(self) -> bool:
+        """Whether it has been closed."""
+        return self._closed
+
+    def close(self) -> None:
+        """Let go of the port."""
+        self._closed = True
+        self._net.unbind(self)
+
+
 class EmulatedListener:
     """A listening socket: `winchspan.system.Listener`."""
 
-    def __init__(self, network: Network, life: Life, port: int, place: str) -> None:
+    def __init__(self, network: Network, life: Program, port: int, place: str) -> None:
         self._net, self.life, self.port, self.place = network, life, port, place
         self._waiting: deque[End] = deque()
         self.accept_all: Callable[[End], None] | None = None
--- a/winchspan/net/fleet_stream.py
+++ b/winchspan/net/fleet_stream.py
@@ -13,7 +13,6 @@
 
 import asyncio
 import hmac
-import secrets
 from collections import Counter
 from collections.abc import Callable, Mapping
 from hashlib import blake2b
@@ -68,7 +67,7 @@
         self._streams, self.name, self._dialled = streams, "", dialled
         self._buffer = ReceiveBuffer()
         self._transport: asyncio.Transport | None = None
-        self._salt, self._their_salt = secrets.token_bytes(16), b""
+        self._salt, self._their_salt = streams.token(), b""
         self._claimed = ""        # who a stranger says it is, until it has proved it
         self._sent = self._got = 0
 
@@ -196,7 +195,7 @@
 
     def __init__(self, me: str, members: Mapping[str, Address], secret: bytes,
                  got: Callable[[str, str, bytes], None], connected: Callable[[str], None],
-                 later: Callable[[float, Callable[[], None]], Any]) -> None:
+                 later: Callable[[float, Callable[[], None]], Any], token: Callable[[], bytes]) -> None:
         """Make it, closed.
 
         Args:
@@ -206,9 +205,10 @@
             got: gets sender, kind and body of each frame.
             connected: hears of each connection that is up.
             later: calls back after some ms.
+            token: 16 random bytes for a connection's signatures.
         """
         self.me, self.members, self.secret = me, members, secret
-        self._got, self._connected, self._later = got, connected, later
+        self._got, self._connected, self._later, self.token = got, connected, later, token
         self.dropped: Counter[str] = Counter()
         self._peers: dict[str, Peer] = {}
         self._strangers: set[Peer] = set()
--- a/winchspan/probing.py
+++ b/winchspan/probing.py
@@ -173,7 +173,7 @@
                 self._undone(*found)
         targets = [Target(host.name, host.dest, host.share, host.number)
                    for host in self._daemon.group.in_service()]
-        for duty in {shard(target.dest) for target in targets}:
+        for duty in sorted({shard(target.dest) for target in targets}):
             epoch = self._council.may(duty)
             if epoch and self._read.get(duty) != epoch and (duty, epoch) not in self._reading.values():
                 self._ask_others(now, duty, epoch)
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -1,6 +1,6 @@
 """Endpoints that are probed, and what they saw: who probed which, when, under which epoch, and how apart.
 
-They run on a thread of their own. What is judged is judged from outside: by what arrived.
+What is judged is judged from outside: by what arrived.
 """
 
 from __future__ import annotations
@@ -8,10 +8,11 @@
 import asyncio
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from winchspan.standins.platform import KIND
-from winchspan.standins.sockets import HOST, Request, answer, read_request
+from winchspan.standins.sockets import HOST, Request, Server, answer, read_request
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,48 +70,44 @@
     return Verdict(len(acts), twice, too_late, old, worst)
 
 
-class Probed:
-    """Some partners, one endpoint each."""
+class Endpoints:
+    """Some partners, one endpoint each, on the running loop."""
 
-    def __init__(self, count: int, rate: float) -> None:
-        """Open them; `rate` is what the list says that each takes from all couriers, calls a second."""
-        self._count, self._rate = count, rate
+    def __init__(self, count: int, rate: float, now: Callable[[], float] = time.monotonic) -> None:
+        """Make them, closed.
+
+        Args:
+            count: how many.
+            rate: what the list says that each takes from all couriers, calls a second.
+            now: the time that acts are noted by, in seconds.
+        """
+        self._count, self._rate, self._now = count, rate, now
         self.acts: list[Act] = []
         self.answers: dict[str, tuple[int, tuple[tuple[str, str], ...]]] = {}     # other than 200
         self.calls: list[tuple[float, str]] = []       # messages: when, and to which endpoint
         self.ports: dict[str, int] = {}
-        self._servers: list[asyncio.Server] = []
-        self._open: set[asyncio.StreamWriter] = set()
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._thread.start()
-        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result(30.0)
+        self._servers: list[Server] = []
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Listen."""
         for number in range(self._count):
             name = f"s-{number}"
 
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                             name: str = name) -> None:
-                self._open.add(writer)
-                try:
-                    while (request := await read_request(reader)) is not None:
-                        writer.write(self._answer(name, request))
-                except OSError:
-                    pass
-                finally:
-                    self._open.discard(writer)
-                    writer.close()
-            server = await asyncio.start_server(serve, HOST, 0)
+                while (request := await read_request(reader)) is not None:
+                    writer.write(self._answer(name, request))
+            server = Server(serve)
+            await server.start()
             self._servers.append(server)
-            self.ports[name] = int(server.sockets[0].getsockname()[1])
+            self.ports[name] = server.port
 
     def _answer(self, name: str, request: Request) -> bytes:
         if "x-probe" in request.headers:
             duty, epoch, turn, owner = request.headers["x-probe"].split()
-            self.acts.append(Act(time.monotonic(), name, duty, int(epoch), int(turn), owner))
+            self.acts.append(Act(self._now(), name, duty, int(epoch), int(turn), owner))
         else:
-            self.calls.append((time.monotonic(), name))
+            self.calls.append((self._now(), name))
         status, headers = self.answers.get(name, (200, ()))
         return answer(status, b"", headers)
 
@@ -121,14 +118,28 @@
              "health": "draining" if name in but else "up", "share": self._rate, "born_ms": 0}
             for number, (name, port) in enumerate(self.ports.items())]}
 
+    def close(self) -> None:
+        """Listen no more."""
+        for server in self._servers:
+            server.close()
+
+
+class Probed(Endpoints):
+    """They run on a thread of their own, for tests with real processes."""
+
+    def __init__(self, count: int, rate: float) -> None:
+        super().__init__(count, rate)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self.start(), self._loop).result(30.0)
+
     def close(self) -> None:
         """End."""
         async def run() -> None:
             for server in self._servers:
                 server.close()
-            for writer in list(self._open):
-                writer.transport.abort()
-            await asyncio.sleep(0)
+            await asyncio.sleep(0.05)                  # what is served sees its connection end
         asyncio.run_coroutine_threadsafe(run(), self._loop).result(10.0)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(10.0)
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -137,6 +137,10 @@
         """A random number over 0 that tells this process from others, below 2 to the 52nd."""
         return (int.from_bytes(os.urandom(7)) >> 5) + 1   # importing `secrets` would cost each start some
 
+    def token(self) -> bytes:
+        """16 random bytes that nobody can guess."""
+        return os.urandom(16)
+
     def listen(self, host: str, port: int) -> Listener:
         """Listen for clients at an address; raises OSError."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
