Strike fleets by scripts that begin at observed states, real ones and emulated ones alike

Change: standins/faults.py reads and plays scripts; tests/faults holds eight, each played by three emulated members over drifting clocks and a network that loses, two by forty, three by real processes; benchmarks/owners.py emulated strikes at random and looks each 50 ms for a duty with two owners.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -6,7 +6,8 @@
 
 `... proof kills --minutes 30`: three processes, one killed every minute. `... proof faults --count 125 --seed
 1`: freezes, cuts in one direction and both, kills and loss between three processes, at random. What is judged
-is what arrived at the endpoints that the fleet probes.
+is what arrived at the endpoints that the fleet probes. `... emulated --members 40 --faults 1000 --seed 1`:
+the same and more in virtual time.
 """
 
 from __future__ import annotations
@@ -23,7 +24,10 @@
 from pathlib import Path
 
 import click
+from loguru import logger
 
+from winchspan.emulator.fleet import EmulatedFleet
+from winchspan.emulator.network import Way
 from winchspan.members.messages import State
 from winchspan.net.fleet_link import encode
 from winchspan.standins.couriers import Fleet, FleetCourier, wait_for
@@ -158,6 +162,7 @@
 
 ENDPOINTS, EVERY, LATE = 24, 1.0, 2.0    # probed, s from one turn to the next, and s after it that are late
 RATE = 200.0              # calls a second that each listed partner takes: its own part is no bound then
+LOOK = 0.05               # s of virtual time between two looks at who may act
 REST = 4.0                # s between the end of a fault and the next: duties are back where they belong
 
 
@@ -251,6 +256,70 @@
     play("faults at random", nemesis, seed, keep)
 
 
+def strike(fleet: EmulatedFleet, rng: random.Random, kind: str, name: str) -> None:
+    """Let a member be struck, until `mend`."""
+    others = [other for other in fleet.names if other != name]
+    if kind in ("freeze", "kill", "lose", "fill"):
+        fleet.act(kind, name)
+    elif kind == "cut":
+        fleet.cut(name, rng.choice(others))
+    else:
+        for other in others:
+            if kind != "deaf":
+                fleet.cut(name, other)
+            if kind != "mute":
+                fleet.cut(other, name)
+
+
+def in_the_emulator(members: int, count: int, seed: int) -> None:
+    """Faults at random on whole daemons in virtual time, clocks that drift, and a network that loses."""
+    rng, kinds = random.Random(seed), Counter[str]()
+    drifts = tuple(rng.uniform(-0.01, 0.01) for _ in range(members))
+    way = Way(latency=0.3, jitter=1.0, loss=0.01, doubled=0.01)
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = EmulatedFleet(Path(folder), members, seed, ENDPOINTS, EVERY, drifts, way)
+        real, looks, doubled = time.monotonic(), 0, list[str]()
+
+        def play(seconds: float) -> None:
+            nonlocal looks
+            end = fleet.now() + seconds
+            while fleet.now() < end:
+                fleet.run(LOOK)
+                looks += 1
+                doubled.extend(f"{duty} at {fleet.now():.2f}" for duty in fleet.doubled())
+        try:
+            fleet.start()
+            play(REST)
+            begun = fleet.now()
+            while sum(kinds.values()) < count:
+                struck = rng.sample(fleet.names, rng.randint(1, max(1, members // 10)))
+                for name in struck:
+                    kind = rng.choice(["freeze", "freeze", "kill", "lose", "fill", "cut", "mute", "deaf",
+                                       "alone"])
+                    kinds[kind] += 1
+                    strike(fleet, rng, kind, name)
+                play(rng.uniform(0.2, 4.0))
+                fleet.heal()
+                for name in struck:
+                    fleet.act("room", name)
+                    fleet.act("thaw", name)
+                    fleet.act("start", name)
+                play(rng.uniform(0.5, 4.0))
+            play(LATE + EVERY)
+            found = judge([act for act in fleet.endpoints.acts if act.at > begun - EVERY], EVERY, LATE,
+                          fleet.now())
+            lasted = fleet.now() - begun
+        finally:
+            fleet.close()
+    print(f"emulator, {members} members, seed {seed}: {lasted:.0f} s in {time.monotonic() - real:.0f} s, "
+          f"{sum(kinds.values())} faults {dict(kinds)}")
+    print(f"  {found.acts} probes; twice {len(found.twice)}, over {LATE:g} s late {len(found.late)} (latest "
+          f"{found.worst:.2f} s), under an old epoch {len(found.old)}; {looks} looks, two owners in "
+          f"{len(doubled)}", flush=True)
+    for line in (*(text for _, text in (*found.twice, *found.old)), *doubled)[:10]:
+        print("  ", line)
+
+
 @click.group()
 def main() -> None:
     """Measure and prove the members and owners of a fleet."""
@@ -270,6 +339,16 @@
         faults_at_random(count, seed, keep)
 
 
+@main.command()
+@click.option("--members", default=5, help="Size of the fleet.")
+@click.option("--faults", default=1_000, help="How many.")
+@click.option("--seed", default=1, help="Of everything.")
+def emulated(members: int, faults: int, seed: int) -> None:
+    """Strike whole daemons in virtual time, and look again and again for a duty with two owners."""
+    logger.remove()
+    in_the_emulator(members, faults, seed)
+
+
 @main.command()
 @click.option("--kills", "rounds", default=20, help="Kills for each size of fleet.")
 def measure(rounds: int) -> None:
--- /dev/null
+++ b/tests/faults/adopter-dies-too.sexp
@@ -0,0 +1,11 @@
+; An owner is killed; whoever follows it is killed before it is back: the third is alone, and stops.
+(let x owner probes-3)
+(kill x)
+(until other probes-3 x)
+(let y owner probes-3)
+(kill y)
+(until nobody probes-3)
+(start x)
+(until owned probes-3)
+(start y)
+(until whole)
--- /dev/null
+++ b/tests/faults/hang-while-others-die.sexp
@@ -0,0 +1,11 @@
+; One hangs while another dies: no majority; then it wakes, and the two go on.
+(let x owner probes-3)
+(freeze x)
+(until other probes-3 x)
+(let y owner probes-3)
+(kill y)
+(until nobody probes-3)
+(thaw x)
+(until owned probes-3)
+(start y)
+(until whole)
--- /dev/null
+++ b/tests/test_fleet_faults.py
@@ -0,0 +1,104 @@
+"""Scripts of faults, each begun at an observed state: the same by real processes and by emulated ones."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from winchspan.duties.probes import duties
+from winchspan.emulator.fleet import EmulatedFleet
+from winchspan.emulator.network import Way
+from winchspan.owners.leases import Leases
+from winchspan.standins.couriers import Fleet, wait_for
+from winchspan.standins.faults import Play, ScriptError, load, script
+from winchspan.standins.probed import Probed, judge
+
+SCRIPTS = sorted((Path(__file__).parent / "faults").glob("*.sexp"))
+REAL = ("leader-flaps", "hang-while-others-die", "folder-lost-by-the-owner")   # the rest: other real tests
+EVERY = 1.0               # s
+STEP = 0.02               # s of virtual time between two looks
+LONGEST = 120.0           # s of virtual time for one script
+
+
+def emulated(folder: Path, name: str, size: int, seed: int, drift: float = 0.0,
+             way: Way | None = None) -> EmulatedFleet:
+    """Play a script on a fleet in virtual time: at no moment have two the right to one duty."""
+    rng = random.Random(seed)
+    drifts = tuple(rng.uniform(-drift, drift) for _ in range(size))
+    fleet = EmulatedFleet(folder, size, seed, every=EVERY, drifts=drifts, way=way)
+    try:
+        fleet.start()
+        play = Play.of(load(Path(__file__).parent / "faults" / f"{name}.sexp"), fleet)
+        begun, looks = fleet.now(), 0
+        while not play.go_on():
+            assert fleet.now() - begun < LONGEST, f"{name}: {play.at}"
+            fleet.run(STEP)
+            looks += 1
+            for duty in duties() if looks % 5 == 0 else ("probes-3",):
+                assert len(fleet.may_act(duty)) <= 1, f"{duty} has two owners at {fleet.now()}, {play.at}"
+        fleet.run(2.0)
+        found = judge(fleet.endpoints.acts, EVERY, 1e9, fleet.now())
+        assert found.old == [] and found.twice == []
+    finally:
+        fleet.close()
+    return fleet
+
+
+@pytest.mark.parametrize("name", [path.stem for path in SCRIPTS])
+def test_a_script_in_virtual_time(tmp_path: Path, name: str):
+    emulated(tmp_path, name, 3, 7, drift=0.01, way=Way(latency=0.5, jitter=2.0, loss=0.02, doubled=0.05))
+
+
+@pytest.mark.parametrize("name", ["owner-frozen-twice", "leader-flaps"])
+def test_a_script_with_forty_members(tmp_path: Path, name: str):
+    emulated(tmp_path, name, 40, 3)
+
+
+def test_the_same_seed_is_the_same_run_to_the_byte(tmp_path: Path):
+    traces = {emulated(tmp_path / str(n), "leader-flaps", 3, 5).network.trace.hexdigest() for n in range(2)}
+    assert len(traces) == 1
+
+
+def test_owners_who_do_not_look_at_their_lease_are_found_out(tmp_path: Path,
+                                                             monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(Leases, "may", lambda self, duty, now: self._until.get(duty, (0, 0.0))[0])
+    with pytest.raises(AssertionError, match="two owners"):
+        emulated(tmp_path, "owner-frozen-twice", 3, 7)
+
+
+@pytest.fixture
+def probed() -> Iterator[Probed]:
+    found = Probed(24, 200.0)
+    yield found
+    found.close()
+
+
+@pytest.mark.parametrize("name", REAL)
+def test_a_script_with_real_processes(tmp_path: Path, probed: Probed, name: str):
+    fleet = Fleet(tmp_path, 3, f"(probe-every {EVERY:g})", True, known=probed.known())
+    try:
+        fleet.start()
+        wait_for("all are probed", lambda: len({act.endpoint for act in probed.acts}) == len(probed.ports))
+        play = Play.of(load(Path(__file__).parent / "faults" / f"{name}.sexp"), fleet)
+        wait_for(f"{name} is played", play.go_on)
+        since = time.monotonic()
+        wait_for("all are probed again",
+                 lambda: len({act.endpoint for act in probed.acts if act.at > since}) == len(probed.ports))
+        found = judge(probed.acts, EVERY, 1e9, 0.0)
+        assert found.old == [] and found.twice == []
+    finally:
+        fleet.stop()
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("(kill)", "x:1:1: no step: (kill)"), ("(until owns a)", "no step"), ("\n (jump a)", "x:2:2: no step"),
+    ("(repeat x (heal))", "expected (repeat TIMES STEP ...)"), ("(rest soon)", "no step"),
+    ("kill", "expected (STEP WORD ...)")])
+def test_a_script_that_cannot_be_played_is_refused_with_its_place(text: str, told: str):
+    with pytest.raises(ScriptError) as caught:
+        script(text, "x")
+    assert told in str(caught.value)
--- a/winchspan/emulator/fleet.py
+++ b/winchspan/emulator/fleet.py
@@ -153,7 +153,6 @@
                 f"(probe-every {self._every:g}) {self._more})")
 
     # ---- time --------------------------------------------------------------------------------------------
-    @property
     def now(self) -> float:
         """True seconds."""
         return self.loop.time()
@@ -166,11 +165,11 @@
 
     def until(self, what: str, check: Callable[[], bool], most: float = 120.0, step: float = 0.05) -> float:
         """Let time pass until something is so; returns how many seconds it took. Raises AssertionError."""
-        begun = self.now
+        begun = self.now()
         while not check():
-            assert self.now - begun < most, f"not within {most:g} s: {what}"
+            assert self.now() - begun < most, f"not within {most:g} s: {what}"
             self.run(step)
-        return self.now - begun
+        return self.now() - begun
 
     # ---- what happens to it ------------------------------------------------------------------------------
     def start(self) -> None:
@@ -195,10 +194,43 @@
         """Let all pass again."""
         self.network.heal_all()
 
-    def owner(self, duty: str) -> str:
-        """Who may do a duty now; empty for nobody."""
-        return next((name for name, member in self.members.items()
-                     if not member.frozen and member.figures().get(f"fleet.duty.{duty}")), "")
+    def act(self, what: str, name: str) -> None:
+        """Do something to a member (`standins.faults.ACTS`)."""
+        member = self.members[name]
+        if what in ("fill", "room"):
+            member.machine.disk.full = what == "fill"
+        else:
+            {"kill": member.kill, "start": member.start, "freeze": member.freeze, "thaw": member.thaw,
+             "lose": member.lose}[what]()
+
+    # ---- what is observed --------------------------------------------------------------------------------
+    def _duty(self, member: Member, duty: str) -> int:
+        return member.figures().get(f"fleet.duty.{duty}", 0)
+
+    def may_act(self, duty: str) -> list[str]:
+        """All who may do a duty at this moment, also those that hang: more than one is a breach."""
+        return [name for name, member in self.members.items() if self._duty(member, duty)]
+
+    def doubled(self) -> list[str]:
+        """Duties that two may do at this moment."""
+        seen, found = set[str](), list[str]()
+        for member in self.members.values():
+            for what, epoch in member.figures().items():
+                if epoch and what.startswith("fleet.duty."):
+                    if what in seen:
+                        found.append(what.removeprefix("fleet.duty."))
+                    seen.add(what)
+        return found
+
+    def owners(self, duty: str) -> list[str]:
+        """Who may do a duty at this moment, and does not hang."""
+        return [name for name in self.may_act(duty) if not self.members[name].frozen]
+
+    def idle(self, name: str) -> bool:
+        """Whether a member runs, and may do nothing."""
+        member = self.members[name]
+        return member.running and not member.frozen and not any(
+            epoch for what, epoch in member.figures().items() if what.startswith("fleet.duty."))
 
     def leader(self) -> str:
         """Who leads the agreement now; empty for nobody."""
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -172,6 +172,55 @@
     def __getitem__(self, name: str) -> FleetCourier:
         return self.couriers[name]
 
+    # ---- a stage for scripts of faults -------------------------------------------------------------------
+    @property
+    def names(self) -> list[str]:
+        """All members."""
+        return list(self.couriers)
+
+    def now(self) -> float:
+        """Seconds."""
+        return time.monotonic()
+
+    def owners(self, duty: str) -> list[str]:
+        """Who says that it may do a duty, each asked in its turn; who hangs says nothing."""
+        return [name for name, courier in self.couriers.items()
+                if courier.process is not None and duty in courier.duties()]
+
+    def leader(self) -> str:
+        """Who says that it leads the agreement; empty for nobody."""
+        return next((name for name, courier in self.couriers.items()
+                     if courier.figures().get("fleet.agreement.leads")), "")
+
+    def whole(self) -> bool:
+        """Whether all run, and each holds all for alive."""
+        return all(courier.members() == (len(self.couriers), 0, 0, 0) for courier in self.couriers.values())
+
+    def idle(self, name: str) -> bool:
+        """Whether a member answers, and may do nothing."""
+        found = self.couriers[name].figures()
+        return bool(found) and not any(n for what, n in found.items() if what.startswith("fleet.duty."))
+
+    def act(self, what: str, name: str) -> None:
+        """Do something to a member (`standins.faults.ACTS`); a real disk is not filled here."""
+        courier = self.couriers[name]
+        if what == "start":
+            courier.start()
+        elif what in ("kill", "lose"):
+            courier.kill()
+            for path in (courier.folder / "state").iterdir() if what == "lose" else ():
+                path.unlink()
+        else:
+            courier.signal({"freeze": signal.SIGSTOP, "thaw": signal.SIGCONT}[what])
+
+    def cut(self, source: str, target: str) -> None:
+        """Let nothing pass in one direction."""
+        self.relay.cut(source, target)
+
+    def heal(self) -> None:
+        """Let all pass again."""
+        self.relay.heal()
+
     def start(self) -> None:
         """Start all, and wait until each holds all for alive."""
         for courier in self.couriers.values():
