--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import multiprocessing
 import os
 import random
 import shutil
@@ -29,6 +30,8 @@
 from winchspan.emulator.fleet import EmulatedFleet
 from winchspan.emulator.network import Way
 from winchspan.members.messages import State
+from winchspan.models.checker import Explored, explore
+from winchspan.models.owners import OwnersModel
 from winchspan.net.fleet_link import encode
 from winchspan.standins.couriers import Fleet, FleetCourier, wait_for
 from winchspan.standins.fleet_world import World
@@ -339,6 +342,28 @@
         faults_at_random(count, seed, keep)
 
 
+def share(work: tuple[str, int, int, int]) -> Explored:
+    """One part of an exploration: the runs whose first fault begins in one round."""
+    begin, rounds, deviations, first = work
+    return explore(getattr(OwnersModel, begin)(), rounds, deviations, first=[first])
+
+
+@main.command()
+@click.option("--rounds", default=16, help="Rounds of 75 ms that each run lasts.")
+@click.option("--faults", default=2, help="That a run has at most.")
+@click.option("--cores", default=4, help="Processes.")
+def model(rounds: int, faults: int, cores: int) -> None:
+    """Explore the agreement and the lease exhaustively."""
+    for begin in ("settled", "two_candidates", "one_vote_given"):
+        started = time.monotonic()
+        work = [(begin, rounds, faults, first) for first in range(rounds)]
+        with multiprocessing.Pool(cores) as pool:
+            found = pool.map(share, work, chunksize=1)
+        print(f"model, from {begin}: {rounds} rounds, {faults} faults: {sum(f.states for f in found)} "
+              f"states, {sum(f.runs for f in found)} runs, breaches {[f for f in found if f.breach]}, "
+              f"{time.monotonic() - started:.0f} s", flush=True)
+
+
 @main.command()
 @click.option("--members", default=5, help="Size of the fleet.")
 @click.option("--faults", default=1_000, help="How many.")
--- /dev/null
+++ b/winchspan/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small worlds over the daemon's own machines, in which every run within a bound is played."""
