Name a clock that gains or loses more than leases allow for, and give it no duty

Change: members say what their clocks read; the slope over 40 s, by the least delayed words and the median of all pairs, names one that is off by over 1.5 times the drift against the others; it stops by itself, and the leader renews it nothing. Result: 2% is named within 30 s in the emulator and loses its duties, 0.05% and two at +-1% are not, nor with words that are held 9 s and come in a lump.

--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -58,6 +58,21 @@
     emulated(tmp_path, name, 40, 3)
 
 
+def test_a_clock_off_by_twice_the_stated_drift_is_named_and_given_no_duty(tmp_path: Path):
+    fleet = EmulatedFleet(tmp_path, 3, 1, drifts=(0.0, 0.02, 0.0005))
+    try:
+        fleet.start()
+        fleet.until("its clock is named", lambda: all(
+            member.figures().get("fleet.clocks.off") == 1 for member in fleet.members.values()))
+        fleet.until("it has no duty", lambda: fleet.idle("n1") and all(
+            len(fleet.owners(duty)) == 1 for duty in duties()))
+        # It may stop as much before the leader sees it as two comparisons lie apart.
+        found = judge(fleet.endpoints.acts, EVERY, 4.0, fleet.now())
+        assert found.old == found.twice == found.late == []
+    finally:
+        fleet.close()
+
+
 def test_the_same_seed_is_the_same_run_to_the_byte(tmp_path: Path):
     traces = {emulated(tmp_path / str(n), "leader-flaps", 3, 5).network.trace.hexdigest() for n in range(2)}
     assert len(traces) == 1
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from winchspan.agreement.raft import Raft
+from winchspan.owners.clocks import Clocks
 from winchspan.owners.leases import Grants, Leases, Timing, wished
 from winchspan.owners.ledger import Assign, Fence, Ledger, read_assign
 from winchspan.standins.agreement_world import Broken
@@ -195,3 +198,45 @@
     again.restore(ledger.data())
     assert again.grants == ledger.grants
     assert fence.admit("a", 7) and not fence.admit("a", 5) and fence.turned_away == 1
+
+
+def said(clocks: Clocks, gains: dict[str, float], lasts: float, delay: float = 0.0,
+         held: float = 0.0) -> None:
+    """Members tell what their clocks read, each 1.8 s; words of some time are held and come in a lump."""
+    rng, now, lump = random.Random(1), 0.0, list[tuple[str, float]]()
+    while now < lasts:
+        for name, gain in gains.items():
+            reading = 5e6 + now * (1.0 + gain)
+            late = rng.expovariate(1.0 / delay) if delay else 0.0
+            if held and 12_000.0 < now < 12_000.0 + held:
+                lump.append((name, reading))
+            else:
+                clocks.saw(now + late, name, 1, reading)
+        if lump and now > 12_000.0 + held:
+            for name, reading in lump:
+                clocks.saw(now, name, 1, reading)
+            lump.clear()
+        now += 1_800.0
+
+
+@pytest.mark.parametrize(("delay", "held"), [(0.0, 0.0), (20.0, 0.0), (5.0, 9_000.0)])
+def test_a_clock_that_is_off_by_twice_the_stated_drift_is_named_and_one_within_it_is_not(delay: float,
+                                                                                         held: float):
+    clocks = Clocks()
+    said(clocks, {"n1": 0.0001, "n2": 0.02}, 60_000.0, delay, held)
+    found = clocks.off("n0", 0.01)
+    assert list(found) == ["n2"] and found["n2"] == pytest.approx(0.02, abs=0.004)
+    within = Clocks()
+    said(within, {"n1": 0.01, "n2": -0.01}, 60_000.0, delay, held)
+    assert within.off("n0", 0.01) == {}
+
+
+def test_who_is_off_itself_sees_it_and_two_accuse_nobody():
+    clocks = Clocks()
+    said(clocks, {"n1": 0.02, "n2": 0.0201}, 60_000.0, 5.0)
+    assert list(clocks.off("n0", 0.01)) == ["n0"], "all others go alike"
+    two = Clocks()
+    said(two, {"n1": 0.05}, 60_000.0)
+    assert two.off("n0", 0.01) == {} and two.gain("n1") == pytest.approx(0.05)
+    clocks.saw(70_000.0, "n1", 2, 100.0)
+    assert clocks.gain("n1") is None, "another process, perhaps on another clock"
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -29,6 +29,7 @@
 from winchspan.config import Address
 from winchspan.deadlines import Deadline
 from winchspan.net.fleet_stream import FleetStreams
+from winchspan.owners.clocks import Clocks
 from winchspan.owners.leases import Ask, GaveUp, GiveUp, Grants, Leases, Renewal, Timing
 from winchspan.owners.ledger import Assign, Ledger
 
@@ -52,6 +53,8 @@
 
     member: str
     empty: bool
+    life: int = 0
+    clock: float = 0.0        # what its clock reads, ms
 
 
 class _Said(msgspec.Struct):
@@ -88,6 +91,7 @@
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
+        self._clocks, self._off = Clocks(), dict[str, float]()     # whose clock is off, and by how much
         self._renewed_to = 0.0    # when the last lease is over that this process has renewed, in any term
         self._plans: Deadline | None = None
         self._timer_at, self._closed, self._beats = float("inf"), False, 0
@@ -112,7 +116,7 @@
 
     def may(self, duty: str) -> int:
         """The epoch under which this courier may do a duty at this moment; 0: it may not."""
-        return self.leases.may(duty, self._now())
+        return 0 if self._name in self._off else self.leases.may(duty, self._now())
 
     # ---- what duties rest on -----------------------------------------------------------------------------
     def hear(self, kind: str, reader: Callable[[str, bytes], None]) -> None:
@@ -166,7 +170,7 @@
         return {"agreement": {"member": self._store.me, "role": self.raft.role.value,
                               "leader": self.raft.leader, "term": self.raft.term,
                               "committed": self.raft.commit, "voters": sorted(self.raft.members),
-                              "disk_behind": self._store.behind},
+                              "disk_behind": self._store.behind, "clocks_off": self._off},
                 "duties": duties}
 
     def figures(self) -> dict[str, int]:
@@ -174,7 +178,8 @@
         found = {"fleet.agreement.term": self.raft.term, "fleet.agreement.committed": self.raft.commit,
                  "fleet.agreement.leads": int(self.raft.role is Role.LEADER),
                  "fleet.agreement.voters": len(self.raft.members),
-                 "fleet.agreement.behind": int(self._store.behind)}
+                 "fleet.agreement.behind": int(self._store.behind),
+                 "fleet.clocks.off": len(self._off)}
         return found | {f"fleet.duty.{duty}": self.may(duty) for duty in self._duties}
 
     @property
@@ -189,6 +194,7 @@
                 here = _HERE.decode(body)
                 if name_of(here.member) == name:
                     self._founding.here(here.member, here.empty)
+                    self._clocks.saw(self._now(), name, here.life, here.clock)
                 return
             if (other := self._readers.get(kind)) is not None:
                 other(name, body)
@@ -230,7 +236,7 @@
 
     def _renew(self, now: float, ask: Ask) -> Renewal | None:
         """Let leases go on, if this courier surely leads."""
-        if self._grants is None:
+        if self._grants is None or ask.owner in self._off:
             return None
         found = self._grants.renew(now, ask, self.ledger, self.raft.surely_leads(now))
         self._renewed_to = max(self._renewed_to, self._grants.latest)
@@ -250,7 +256,8 @@
 
     def _here(self, name: str) -> None:
         empty = not self.raft.last[0] and not self.raft.term
-        self._streams.say(name, "here", _ENCODER.encode(_Here(self._store.me, empty)))
+        here = _Here(self._store.me, empty, self._life, self._now())
+        self._streams.say(name, "here", _ENCODER.encode(here))
 
     # ---- what is due -------------------------------------------------------------------------------------
     def _beat(self) -> None:
@@ -259,6 +266,8 @@
         self._daemon.deadlines.after(BEAT, self._beat)
         now = self._now()
         self._beats += 1
+        if self._beats % SAY_EACH == 0:
+            self._compare_clocks()
         for name in self._streams.members if self._beats % SAY_EACH == 1 else ():
             self._here(name)
         empty = not self.raft.last[0] and not self.raft.term
@@ -268,6 +277,16 @@
         self._ask(now)
         self._plan()
 
+    def _compare_clocks(self) -> None:
+        """Name whose clock is off, and whose is so no longer."""
+        found = self._clocks.off(self._name, self._timing.drift)
+        for name in sorted(found.keys() - self._off.keys()):
+            logger.error("fleet: the clock of {} is off by {:+.2f}% against the others', stated {:.2f}%: it "
+                         "is given no duty", name, 100.0 * found[name], 100.0 * self._timing.drift)
+        for name in sorted(self._off.keys() - found.keys()):
+            logger.info("fleet: the clock of {} goes as the others' do again", name)
+        self._off = found
+
     def _ask(self, now: float) -> None:
         """Ask that the leases of this courier go on."""
         if (ask := self.leases.ask(now, self.ledger)) is not None and self.raft.leader:
@@ -286,8 +305,8 @@
                 logger.info("fleet: asks that these agree: {}", ", ".join(sorted(wanted)))
             self._carry_out(actions)
         voters = {name_of(member): member for member in self.raft.members}
-        able = {name: life for name, life in there.items()
-                if name in voters and self.raft.reaches(now, voters[name], self._timing.lease)}
+        able = {name: life for name, life in there.items() if name in voters and name not in self._off
+                and self.raft.reaches(now, voters[name], self._timing.lease)}
         for step in self._grants.plan(now, able, self.ledger):
             if isinstance(step, Assign):
                 self._carry_out(self.raft.propose(now, step.data())[1])
