Let the rates of resend rules count for a fleet: one courier at a time sends again

Change: the owner of the duty 'resends' goes round with allowances under its epoch; a courier's resender goes by them, and looks right before it hands a message over. Result: three processes with a rule of 2 a second, the owner killed: at most 3 s x 2 + 4 in any 3 s; as decisions 110 to 120 of 120 in a minute though one courier has nothing.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -8,6 +8,7 @@
 from winchspan import interface as api
 from winchspan.duties.probes import AT_ONCE, MOST_KNOWN, PART, UNLISTED, Probes, Target, duties, shard
 from winchspan.duties.quorum import MOST_OPEN, Quorum
+from winchspan.duties.rounds import MARGIN, VALID, Allowance, Rounds
 from winchspan.duties.waits import LONGEST, MOST_WAITS, Waits
 from winchspan.standins.platform import platform
 from winchspan.standins.probed import Act, judge
@@ -166,3 +167,46 @@
     p.undone(row.name, 6, 2)
     p.ended(0.0, row.name, 6, 2, False)
     assert p.known[row.name].begun == 11_000.0 and p.known[row.name].ok
+
+
+def test_resends_go_round_one_courier_at_a_time_at_the_rules_rate_for_all():
+    rounds, now, sent, turns = Rounds(0.0, {"a": 2.0}), 0.0, list[float](), list[str]()
+    most = {"n0": 0, "n1": 99, "n2": 99}               # what each has to send again
+    while now < 60_000.0:
+        if (order := rounds.order(now, most)) is not None:
+            turns.append(order.to)
+            used = min(most[order.to], order.most["a"])
+            sent += [now] * used
+            assert rounds.order(now, most) is None, "as long as one may send, no other may"
+            rounds.reported(now, order.to, order.number, {"a": used})
+        now += 250.0
+    assert set(turns) == set(most) and turns[:3] == ["n0", "n1", "n2"]
+    assert len(sent) in range(110, 121), "and what one does not use is for the others"
+    assert all(sum(1 for at in sent if begin <= at < begin + 10_000.0) <= 24 for begin in sent)
+
+
+def test_an_owner_waits_for_what_the_one_before_has_allowed_and_for_who_does_not_report():
+    rounds = Rounds(0.0, {"a": 10.0})
+    assert all(rounds.order(float(at), ["n0", "n1"]) is None for at in range(0, int(VALID), 250))
+    order = rounds.order(VALID * MARGIN, ["n0", "n1"])
+    assert order is not None and order.to == "n0"
+    assert rounds.order(2 * VALID, ["n0", "n1"]) is None
+    late = rounds.order(2 * VALID * MARGIN, ["n0", "n1"])
+    assert late is not None and late.to == "n1"
+    rounds.reported(2 * VALID * MARGIN, "n0", order.number, {})
+    assert rounds.order(2 * VALID * MARGIN, ["n0"]) is None, "a late report opens nothing"
+    assert Rounds(0.0, {}).order(1e6, ["n0"]) is None and Rounds(0.0, {"a": 1.0}).order(1e6, []) is None
+
+
+def test_an_allowance_runs_out_by_number_and_by_time():
+    mine = Allowance()
+    assert not mine.left(0.0, "a") and not mine.holds(0.0)
+    mine.given(0.0, 7, 1, {"a": 2, "b": -5})
+    assert mine.left(0.0, "a") and not mine.left(0.0, "b") and not mine.left(0.0, "c")
+    mine.use("a")
+    mine.use("a")
+    assert not mine.left(0.0, "a") and mine.holds(VALID - 1.0) and mine.used == {"a": 2}
+    assert not mine.holds(VALID)
+    mine.given(0.0, 7, 2, {"a": 1})
+    mine.done()
+    assert not mine.left(0.0, "a")
--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -154,10 +155,43 @@
     wait_for("it is probed again", lambda: turns(probed, 1, said)["s-5"])
 
 
-def submit(port: int, dest: int) -> bytes:
+def submit(port: int, dest: int, patience: int = 5_000) -> bytes:
     """Hand one message in; the courier's answer."""
     name = f"{time.monotonic_ns() % (1 << 64):016x}".encode()
-    words = [b"SUBMIT", b"0" * 16, name, f"c=gallery-notice,d=5000,k={'0' * 16},dest={dest}".encode(), b"x"]
+    told = f"c=gallery-notice,d={patience},k={'0' * 16},dest={dest}"
+    words = [b"SUBMIT", b"0" * 16, name, told.encode(), b"x"]
     with socket.create_connection((HOST, port), timeout=5.0) as link:
         link.sendall(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
         return link.recv(100)
+
+
+def test_the_rate_of_a_resend_rule_counts_for_the_fleet_whoever_is_killed(tmp_path: Path):
+    """Each of three keeps messages; without the duty each would send at the rule's rate."""
+    rate, probed = 2.0, Probed(3, 200.0)
+    probed.answers = dict.fromkeys(probed.ports, (503, ()))
+    fleet = Fleet(tmp_path, 3, "(shared-resends yes)", True, discovery=probed.agent, known=probed.known())
+    try:
+        for courier in fleet.couriers.values():
+            (courier.folder / "kept").mkdir()
+            courier.fleet += (f'(undelivered (on yes) (folder "{courier.folder}/kept"))\n'
+                              f'(resend "all" (after 0) (rate {rate:g}) (most 9) (backoff 0))\n')
+            courier.write(3)
+        fleet.start()
+        for number in range(36):
+            courier = fleet[NAMES[number % 3]]
+            assert submit(courier.listen, number % 3, patience=400).startswith(b"+OK")
+        wait_for("all have ended", lambda: all(
+            fleet[name].figures().get("answered.gallery-notice", 0) == 0
+            and fleet[name].figures().get("current", 1) == 0 for name in NAMES))
+        probed.answers.clear()
+        probed.calls.clear()
+        wait_for("some are sent again", lambda: len(probed.calls) >= 8)
+        owner = next(name for name in NAMES if fleet[name].duties().get("resends"))
+        fleet[owner].kill()
+        wait_for("the others go on", lambda: len(probed.calls) >= 20)
+        times = [at for at, _ in probed.calls]
+        for begin in times:                            # some are saved up, and looks part an order from its use
+            assert sum(begin <= at < begin + 3.0 for at in times) <= 3.0 * rate + 4
+    finally:
+        fleet.stop()
+        probed.close()
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from winchspan.admin.operations import Operations
     from winchspan.undelivered.keeper import Keeper
+    from winchspan.undelivered.rules import Pace
     from winchspan.upgrade.parts import Whole
     from winchspan.upgrade.start import Inherited
 
@@ -103,6 +104,7 @@
                                     settings.answers_report, self._figures)
         self.governor: api.Governor | None = None   # seams that parts may fill
         self.keeper: Keeper | None = None
+        self.pace: Pace | None = None               # of resends, where a fleet keeps it
         self._parts = chosen(self)
         self.courier = Courier(settings, config.seed, self.clock, self.deadlines, self._journal, hooks,
                                Announcements(self._notices, words), loop.call_soon, self.governor,
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -23,6 +23,7 @@
     from winchspan.council import Council
     from winchspan.daemon import Daemon
     from winchspan.probing import Prober
+    from winchspan.resending import Resends
 
 
 class FleetPart(Part):
@@ -45,6 +46,7 @@
         self._swim = Swim(daemon.config.name, members, life, daemon.config.seed, daemon.clock.now(), timing)
         self._council: Council | None = None
         self._prober: Prober | None = None
+        self._resends: Resends | None = None
         if agrees(values):
             from winchspan.agreement.store import LIMIT, StoreError
             from winchspan.council import Council
@@ -64,6 +66,13 @@
 
                 self._prober = Prober(daemon, self._council, values["probe-every"] * 1_000.0,
                                       values["probe-path"], values["shared-waits"])
+            if values["shared-resends"]:
+                from winchspan.resending import FleetPace, Resends
+                from winchspan.undelivered.setup import rules
+
+                named = rules(daemon.wishes.operator.get("resend", {}))
+                self._resends = Resends(daemon, self._council, named)
+                daemon.pace = FleetPace(self._resends)
         self._link = FleetLink(members, secret, self._got)
         self._timer: Deadline | None = None
 
@@ -79,6 +88,8 @@
                                   f"{err.strerror}") from None
         if self._prober is not None:
             self._prober.start()
+        if self._resends is not None:
+            self._resends.start()
         self._tick()
 
     def retune(self, settings: api.Settings) -> None:
@@ -125,6 +136,8 @@
             found |= self._council.figures()
         if self._prober is not None:
             found |= self._prober.figures()
+        if self._resends is not None:
+            found |= self._resends.figures()
         return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in self._dropped().items()}
 
     def _dropped(self) -> Counter[str]:
@@ -139,6 +152,8 @@
         self._link.close()
         if self._prober is not None:
             self._prober.close()
+        if self._resends is not None:
+            self._resends.close()
         if self._council is not None:
             self._council.close()
         self._socket.close()
@@ -178,11 +193,16 @@
 
 def own_duties(values: Mapping[str, Any]) -> tuple[str, ...]:
     """The duties of the courier's own that a section `fleet` asks for."""
-    if not values["probe-every"]:
-        return ()
-    from winchspan.duties.probes import duties
+    found: tuple[str, ...] = ()
+    if values["probe-every"]:
+        from winchspan.duties.probes import duties
+
+        found = duties()
+    if values["shared-resends"]:
+        from winchspan.duties.rounds import DUTY
 
-    return duties()
+        found += (DUTY,)
+    return found
 
 
 def fleet_members(values: Mapping[str, Any], name: str) -> dict[str, Address]:
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -9,7 +9,7 @@
 
 from winchspan.config import Address, ConfigError, parse_address
 from winchspan.operator.reader import OperatorError, read
-from winchspan.operator.schema import Key, Section, check
+from winchspan.operator.schema import Key, Section, check, place_of
 
 STORMS = Section("storms", "Retry storms: seen, damped, and clients told when to come back.", (
     Key("on", bool, False, "switch the subsystem on"),
@@ -183,6 +183,9 @@
     if undelivered["on"] and not Path(undelivered["folder"] or "/dev/null").is_dir():
         raise OperatorError(f"{path}: undelivered.folder: expected an existing folder, not "
                             f"{undelivered['folder']!r:.80}")
+    if values["fleet"]["on"] and values["fleet"]["shared-resends"] and not undelivered["on"]:
+        raise OperatorError(f"{place_of(values['fleet'], 'shared-resends')}: fleet.shared-resends: there is "
+                            "nothing to send again while undelivered.on is no")
     if storms["calm-share"] >= storms["storm-share"]:
         raise OperatorError(f"{path}: storms.calm-share: must be below storms.storm-share, "
                             f"{storms['storm-share']:g}, not {storms['calm-share']:g}")
--- a/winchspan/parts.py
+++ b/winchspan/parts.py
@@ -65,7 +65,7 @@
 
         daemon = self._daemon
         Resender(rules(daemon.wishes.operator.get("resend", {})), daemon.classes, daemon.clock,
-                 daemon.deadlines, self._keeper, daemon.courier).start()
+                 daemon.deadlines, self._keeper, daemon.courier, daemon.pace).start()
 
     def retune(self, settings: api.Settings) -> None:
         """Other settings hold."""
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -86,10 +86,18 @@
         self.answers: dict[str, tuple[int, tuple[tuple[str, str], ...]]] = {}     # other than 200
         self.calls: list[tuple[float, str]] = []       # messages: when, and to which endpoint
         self.ports: dict[str, int] = {}
+        self.agent = 0            # port of an agent that takes notices, and has no list
         self._servers: list[Server] = []
 
     async def start(self) -> None:
         """Listen."""
+        async def notices(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while (request := await read_request(reader)) is not None:
+                writer.write(answer(204 if request.path == "/v1/notices" else 404))
+        agent = Server(notices)
+        await agent.start()
+        self._servers.append(agent)
+        self.agent = agent.port
         for number in range(self._count):
             name = f"s-{number}"
 
--- a/winchspan/undelivered/resender.py
+++ b/winchspan/undelivered/resender.py
@@ -53,10 +53,11 @@
     """Looks again and again for what may be sent again."""
 
     def __init__(self, rules: Sequence[Rule], classes: Mapping[str, MessageClass], clock: Clock,
-                 deadlines: Deadlines, worker: Worker, desk: Desk) -> None:
+                 deadlines: Deadlines, worker: Worker, desk: Desk, pace: Pace | None = None) -> None:
+        """Make it, idle; `pace` says how fast each rule may send, by default at its own rate."""
         self._rules, self._classes, self._clock, self._deadlines = rules, classes, clock, deadlines
         self._worker, self._desk = worker, desk
-        self._pace = Pace()
+        self._pace = pace or Pace()
         self._due, self._stamp = 0.0, (0, 0)     # when the next message is due, as of this state of the store
         self.sent = self.refused = 0
 
@@ -107,7 +108,8 @@
         """On the loop: hand what is marked to the courier."""
         for m in found.marked if found is not None else ():
             ran_at = m.ran_at if m.ran is Ran.MAY and not m.released else None
-            if self._desk.take_again(m.number, m.id, m.cls, m.key, m.dest, m.token, m.body, ran_at):
+            may = m.approved or self._pace.holds()
+            if may and self._desk.take_again(m.number, m.id, m.cls, m.key, m.dest, m.token, m.body, ran_at):
                 self.sent += 1
                 logger.bind(event="resend", number=m.number, message=m.id).info(
                     "undelivered: message {} goes again to destination {}", m.number, m.dest)
@@ -116,4 +118,5 @@
                 self._worker.do(lambda store, m=m: store.change(  # type: ignore[misc]
                     m.number, State.RESENDING, state=State.KEPT, resends=m.resends,
                     next_at=self._clock.unix() + AGAIN, note="the courier could not take it"), lambda _: None)
+        self._pace.looked()
         self._deadlines.after(LOOK_EVERY, self.start)
--- a/winchspan/undelivered/rules.py
+++ b/winchspan/undelivered/rules.py
@@ -120,6 +120,13 @@
         gap = 1_000.0 / rule.rate
         return now >= self._next.get(rule.name, 0.0) or self._next[rule.name] - now > gap + LOOK_EVERY
 
+    def holds(self) -> bool:
+        """Whether what has been marked may still be sent."""
+        return True
+
+    def looked(self) -> None:
+        """A look is over."""
+
     def sent(self, now: float, rule: Rule) -> None:
         """The rule has sent one."""
         gap = 1_000.0 / rule.rate
