--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -190,7 +190,7 @@
         fleet[owner].kill()
         wait_for("the others go on", lambda: len(probed.calls) >= 20)
         times = [at for at, _ in probed.calls]
-        for begin in times:                            # some are saved up, and looks part an order from its use
+        for begin in times:                            # some are saved up, and two looks lie between
             assert sum(begin <= at < begin + 3.0 for at in times) <= 3.0 * rate + 4
     finally:
         fleet.stop()
