Test duties by rolling restarts under load, a slow member, and two that both believe

Change: three processes restart one after the other under load with SIGHUP in between; one runs a sixth of the time; leases are broken altogether, and the epoch alone holds back who was followed. Result: all that was answered +OK is delivered, no healthy member is gone, nothing is done twice.

--- a/tests/test_fleet_duties.py
+++ b/tests/test_fleet_duties.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
 import socket
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -67,7 +69,7 @@
 
 def once(probed: Probed) -> None:
     """Nothing was done twice, nothing by an owner that another had come after."""
-    found = judge(probed.acts, EVERY, 1e9, 0.0)
+    found = judge(list(probed.acts), EVERY, 1e9, 0.0)
     assert found.twice == [] and found.old == []
 
 
@@ -155,9 +157,9 @@
     wait_for("it is probed again", lambda: turns(probed, 1, said)["s-5"])
 
 
-def submit(port: int, dest: int, patience: int = 5_000) -> bytes:
+def submit(port: int, dest: int, patience: int = 5_000, id_: str = "") -> bytes:
     """Hand one message in; the courier's answer."""
-    name = f"{time.monotonic_ns() % (1 << 64):016x}".encode()
+    name = (id_ or f"{time.monotonic_ns() % (1 << 64):016x}").encode()
     told = f"c=gallery-notice,d={patience},k={'0' * 16},dest={dest}"
     words = [b"SUBMIT", b"0" * 16, name, told.encode(), b"x"]
     with socket.create_connection((HOST, port), timeout=5.0) as link:
@@ -165,6 +167,55 @@
         return link.recv(100)
 
 
+def test_all_restart_one_after_the_other_under_load_with_sighup_in_between(fleet: Fleet, probed: Probed):
+    begun, taken, stop = len(probed.acts), set[str](), threading.Event()
+
+    def load() -> None:
+        number = 0
+        while not stop.wait(0.02):
+            number += 1
+            with contextlib.suppress(OSError):         # it is on its way down, or not up yet
+                id_ = f"{time.monotonic_ns() % (1 << 64):016x}"
+                if submit(fleet[NAMES[number % 3]].listen, number % 24, 9_000, id_).startswith(b"+OK"):
+                    taken.add(id_)
+    clients = threading.Thread(target=load)
+    clients.start()
+    try:
+        for name in NAMES:
+            process = fleet[name].process
+            fleet[name].signal(signal.SIGTERM)
+            assert process is not None and process.wait(60.0) == 0
+            for other in NAMES:
+                if other != name:
+                    fleet[other].signal(signal.SIGHUP)
+            fleet[name].start()
+            fleet.wait("it is back", *ALL)
+            again(probed, name)
+    finally:
+        stop.set()
+        clients.join()
+    assert len(taken) > 50
+    wait_for("what was taken is delivered", lambda: taken <= probed.ids.keys())
+    found = judge(probed.acts[begun:], EVERY, 1e9, 0.0)
+    assert found.twice == [] and found.old == []
+
+
+def test_one_that_is_always_late_has_nobody_declared_dead(fleet: Fleet, probed: Probed):
+    """It runs a sixth of the time, as beside much work on its core; the others are healthy, and stay so."""
+    slow, logged = "n1", {name: len(fleet[name].log()) for name in NAMES}
+    since = time.monotonic()
+    while not all(turns(probed, 4, since).values()):
+        fleet[slow].signal(signal.SIGSTOP)
+        time.sleep(0.1)
+        fleet[slow].signal(signal.SIGCONT)
+        time.sleep(0.02)
+    for name in NAMES:
+        words = fleet[name].log()[logged[name]:]
+        assert not any(f"fleet: {other} is gone" in words for other in NAMES if other != slow)
+    fleet.wait("all know each other", *ALL)
+    once(probed)
+
+
 def test_the_rate_of_a_resend_rule_counts_for_the_fleet_whoever_is_killed(tmp_path: Path):
     """Each of three keeps messages; without the duty each would send at the rule's rate."""
     rate, probed = 2.0, Probed(3, 200.0)
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -25,7 +25,7 @@
 
 
 def emulated(folder: Path, name: str, size: int, seed: int, drift: float = 0.0,
-             way: Way | None = None) -> EmulatedFleet:
+             way: Way | None = None, believed: bool = False) -> EmulatedFleet:
     """Play a script on a fleet in virtual time: at no moment have two the right to one duty."""
     rng = random.Random(seed)
     drifts = tuple(rng.uniform(-drift, drift) for _ in range(size))
@@ -39,7 +39,8 @@
             fleet.run(STEP)
             looks += 1
             for duty in duties() if looks % 5 == 0 else ("probes-3",):
-                assert len(fleet.may_act(duty)) <= 1, f"{duty} has two owners at {fleet.now()}, {play.at}"
+                two = not believed and len(fleet.may_act(duty)) > 1
+                assert not two, f"{duty} has two owners at {fleet.now()}, {play.at}"
         fleet.run(2.0)
         found = judge(fleet.endpoints.acts, EVERY, 1e9, fleet.now())
         assert found.old == [] and found.twice == []
@@ -85,6 +86,16 @@
         emulated(tmp_path, "owner-frozen-twice", 3, 7)
 
 
+def test_two_that_each_believe_they_own_a_duty_do_not_both_do_it(tmp_path: Path,
+                                                                 monkeypatch: pytest.MonkeyPatch):
+    """Leases fail altogether: the epoch, which a majority compares, holds back who has been followed."""
+    monkeypatch.setattr(Leases, "may", lambda self, duty, now: self._until.get(duty, (0, 0.0))[0])
+    monkeypatch.setattr(Leases, "left", lambda self, duty, now: 1_000.0 * (duty in self._until))
+    fleet = emulated(tmp_path, "two-believe", 3, 7, believed=True)
+    fenced = [act for act in fleet.endpoints.acts if act.duty == "probes-3"]
+    assert len({act.owner for act in fenced}) == 2
+
+
 @pytest.fixture
 def probed() -> Iterator[Probed]:
     found = Probed(24, 200.0)
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -8,6 +8,7 @@
 import asyncio
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -85,6 +86,7 @@
         self.acts: list[Act] = []
         self.answers: dict[str, tuple[int, tuple[tuple[str, str], ...]]] = {}     # other than 200
         self.calls: list[tuple[float, str]] = []       # messages: when, and to which endpoint
+        self.ids: Counter[str] = Counter()             # messages that were answered 200
         self.ports: dict[str, int] = {}
         self.agent = 0            # port of an agent that takes notices, and has no list
         self._servers: list[Server] = []
@@ -117,6 +119,8 @@
         else:
             self.calls.append((self._now(), name))
         status, headers = self.answers.get(name, (200, ()))
+        if status == 200 and "x-request-id" in request.headers:
+            self.ids[request.headers["x-request-id"]] += 1
         return answer(status, b"", headers)
 
     def known(self, but: tuple[str, ...] = ()) -> dict[str, object]:
