--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,7 +17,7 @@
     "winchspan.choice": 1, "winchspan.retune": 1, "winchspan.storms": 1, "winchspan": 1,
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
-    "winchspan.members": 1, "winchspan.owners": 1, "winchspan.duties": 1,
+    "winchspan.members": 1, "winchspan.owners": 1, "winchspan.duties": 1, "winchspan.copies": 1,
     "winchspan.agreement": 1, "winchspan.agreement.store": 2,
     "winchspan.records": 2,
     "winchspan.courier": 2, "winchspan.journal": 2,
