--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -335,8 +335,15 @@
         while view:
             view = view[self._disk.write(fd, view):]
 
-    def _rewrite(self) -> None:
-        """Write the open messages to the other file, and remove this one once that is whole."""
+    def _more(self) -> bytes:
+        """What else a file written anew is to hold, behind the open messages."""
+        return b""
+
+    def _rewrite(self, longer: bool = False) -> bool:
+        """Write the open messages to the other file, and remove this one once that is whole; False if not.
+
+        It is not done where that would save nothing, unless it may be `longer`.
+        """
         pieces = {e.number: b"".join(e.records()) for e in self.entries}
         last = record({"t": "last", "at": self.last_call}) if self.last_call else b""
         if self._anchor is not None:
@@ -347,23 +354,23 @@
         if self.offline:
             last += self._offline()
         gen = self._gen + 1
-        begins, ends = head(gen), whole(gen)
+        begins, ends = head(gen), self._more() + whole(gen)
         total = sum(len(piece) for piece in pieces.values()) + len(begins) + len(last) + len(ends)
-        if total >= self._size or self._size + total > self._limit * _FIT:
-            return
+        if (total >= self._size and not longer) or self._size + total > self._limit * _FIT:
+            return False
         new = self._paths[self._path == self._paths[0]]
         try:
             fd = self._disk.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC)
         except OSError as err:
             logger.error("journal: cannot write anew: {}", err)
-            return
+            return False
         try:
             self._write(fd, b"".join([begins, last, *pieces.values(), ends]))
         except OSError as err:
             logger.error("journal: cannot write anew: {}", err)
             os.close(fd)
             self._disk.remove(new)
-            return
+            return False
         self._disk.remove(self._path)
         os.close(self._fd)
         self._gen, self._path = gen, new
@@ -372,3 +379,4 @@
         self.tables = {number: rows for number, rows in self.tables.items() if number in needed}
         for number, piece in pieces.items():
             self._entries[number].size = len(piece)
+        return True
