Let the fleet's section say drift, zone and region

Change: drift goes into the leases and into the comparison of clocks; zone and region are told to the others. Result: none measured by this change.

--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -55,6 +55,8 @@
     empty: bool
     life: int = 0
     clock: float = 0.0        # what its clock reads, ms
+    zone: str = ""
+    region: str = ""
 
 
 class _Said(msgspec.Struct):
@@ -72,7 +74,8 @@
     """This courier's seat among those who agree."""
 
     def __init__(self, daemon: Daemon, members: Mapping[str, Address], duties: tuple[str, ...], secret: bytes,
-                 life: int, there: Callable[[], dict[str, int]]) -> None:
+                 life: int, there: Callable[[], dict[str, int]], drift: float = 0.01,
+                 place: tuple[str, str] = ("", "")) -> None:
         """Take the seat; raises StoreError and OSError.
 
         Args:
@@ -82,15 +85,18 @@
             secret: of the fleet's frames.
             life: this process's number, as its members know it.
             there: who is there, by name with their processes' numbers, this one among them.
+            drift: the most that a clock gains or loses, as a part of time.
+            place: this courier's zone and region.
         """
         self._daemon, self._duties, self._there, self._life = daemon, duties, there, life
-        self._name, self._timing = daemon.config.name, Timing()
+        self._name, self._timing = daemon.config.name, Timing(drift=drift)
         self._store = Store(daemon.config.state, self._name, daemon.system.nonce(), daemon.system.disk)
         self.raft = Raft(self._store.me, self._store.kept, daemon.config.seed ^ life, self._now())
         self.ledger, self.leases = Ledger(), Leases(self._name, life, self._timing)
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
+        self.places = {self._name: place}     # zone and region by member, as each has said
         self._clocks, self._off = Clocks(), dict[str, float]()     # whose clock is off, and by how much
         self._renewed_to = 0.0    # when the last lease is over that this process has renewed, in any term
         self._plans: Deadline | None = None
@@ -194,6 +200,7 @@
                 here = _HERE.decode(body)
                 if name_of(here.member) == name:
                     self._founding.here(here.member, here.empty)
+                    self.places[name] = here.zone[:64], here.region[:64]
                     self._clocks.saw(self._now(), name, here.life, here.clock)
                 return
             if (other := self._readers.get(kind)) is not None:
@@ -256,7 +263,7 @@
 
     def _here(self, name: str) -> None:
         empty = not self.raft.last[0] and not self.raft.term
-        here = _Here(self._store.me, empty, self._life, self._now())
+        here = _Here(self._store.me, empty, self._life, self._now(), *self.places[self._name])
         self._streams.say(name, "here", _ENCODER.encode(here))
 
     # ---- what is due -------------------------------------------------------------------------------------
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -58,7 +58,8 @@
                                   f"{LIMIT >> 10} KiB, and limits.disk_mb leaves the journal less than that")
             try:
                 self._council = Council(daemon, members, (*values["duties"], *own_duties(values)), secret,
-                                        life, self._there)
+                                        life, self._there, values["drift"],
+                                        (values["zone"], values["region"]))
             except StoreError as err:
                 raise ConfigError(f"{place_of(values, asks)}: fleet.{asks}: {err}") from None
             if values["probe-every"] or values["shared-waits"]:
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -123,6 +123,9 @@
             yield "listen", f"{values['listen']} is the address of no member"
     except ValueError as err:
         yield "listen", str(err)
+    for key in ("zone", "region"):
+        if values[key] and not MEMBER.fullmatch(values[key]):
+            yield key, f"expected up to 64 letters, digits, - and _, not {values[key]!r:.80}"
     for name in values["duties"]:
         if not MEMBER.fullmatch(name):
             yield "duties", f"expected names of up to 64 letters, digits, - and _, not {name!r:.80}"
@@ -149,6 +152,10 @@
     Key("answer", float, 0.08, "for its answer, before others are asked to ping it", "s", 0.01, 20),
     Key("suspicion", float, 4.0, "least time that a member is suspected, times log10 of the fleet's size",
         "periods", 1, 1_000),
+    Key("drift", float, 0.01, "the most that a clock gains or loses, as a part of time; the same at all members",
+        "", 0.0001, 0.1),
+    Key("zone", str, "", "where this courier is; others are told"),
+    Key("region", str, "", "in which part of the world that is; others are told"),
     Key("probe-every", float, 0.0, "between two probes of an endpoint, by one courier for all; 0: none", "s",
         0.0, 86_400),
     Key("probe-path", str, "/-/healthy", "what a probe asks for"),
