--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -152,7 +152,7 @@
     Key("answer", float, 0.08, "for its answer, before others are asked to ping it", "s", 0.01, 20),
     Key("suspicion", float, 4.0, "least time that a member is suspected, times log10 of the fleet's size",
         "periods", 1, 1_000),
-    Key("drift", float, 0.01, "the most that a clock gains or loses, as a part of time; the same at all members",
+    Key("drift", float, 0.01, "the most that a clock gains or loses, as a part of time; the same everywhere",
         "", 0.0001, 0.1),
     Key("zone", str, "", "where this courier is; others are told"),
     Key("region", str, "", "in which part of the world that is; others are told"),
