Agree on who holds copies of a courier's work, and under which epoch it was taken over

Need: who counts as a holder, and whether a work was taken over, must be the same for all (docs/copies.md). Change: the ledger takes entries about a courier's work, each only on what its proposer saw; a leader asks a seam whose a duty is to be; members ask the leader to agree on their own work.

--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -31,7 +31,7 @@
 from winchspan.net.fleet_stream import FleetStreams
 from winchspan.owners.clocks import Clocks
 from winchspan.owners.leases import Ask, GaveUp, GiveUp, Grants, Leases, Renewal, Timing
-from winchspan.owners.ledger import Assign, Ledger
+from winchspan.owners.ledger import Assign, Ledger, about, work_of
 
 if TYPE_CHECKING:
     from winchspan.daemon import Daemon
@@ -103,6 +103,8 @@
         self._timer_at, self._closed, self._beats = float("inf"), False, 0
         self._readers: dict[str, Callable[[str, bytes], None]] = {}     # of frames that are not the council's
         self._lost: list[Callable[[str], None]] = []
+        self._agreed: list[Callable[[], None]] = []
+        self.wish: Callable[[str, Mapping[str, int], Ledger], str] | None = None
         self._met: list[Callable[[str], None]] = []
         self._timer: Deadline | None = None
         self._streams = FleetStreams(self._name, members, secret, self._got, self._connected,
@@ -149,6 +151,24 @@
         """Call with a member to which there is a connection again."""
         self._met.append(call)
 
+    def on_agreed(self, call: Callable[[], None]) -> None:
+        """Call whenever something has been agreed."""
+        self._agreed.append(call)
+
+    def agree(self, data: bytes) -> None:
+        """Ask that something about a courier's work be agreed; nothing comes of it while nobody leads."""
+        if self.raft.leader == self._store.me:
+            self._carry_out(self.raft.propose(self._now(), data)[1])
+        elif self.raft.leader:
+            self._streams.say(name_of(self.raft.leader), "agree", _ENCODER.encode(data))
+
+    def _asked_to_agree(self, name: str, data: bytes) -> None:
+        """A member asks: about its own work, or about that which it has taken over."""
+        owner = about(data)
+        grant = self.ledger.grants.get(work_of(owner))
+        if owner and (owner == name or (grant is not None and grant.owner == name)):
+            self._carry_out(self.raft.propose(self._now(), data)[1])
+
     def left(self, duty: str) -> float:
         """For how many ms this courier may still do a duty."""
         return self.leases.left(duty, self._now())
@@ -206,6 +226,9 @@
             if (other := self._readers.get(kind)) is not None:
                 other(name, body)
                 return
+            if kind == "agree":
+                self._asked_to_agree(name, msgspec.msgpack.decode(body, type=bytes))
+                return
             reader = _READERS.get(kind)
             said = _SAID.decode(body)
             if reader is None or name_of(said.source) != name or said.to != self._store.me:
@@ -351,6 +374,8 @@
                         self._say(to, message)
                 case Commit(entry):
                     duty = self.ledger.apply(entry.index, entry.data)
+                    for call in self._agreed:
+                        call()
                     if duty:
                         grant = self.ledger.grants[duty]
                         self.leases.moved(duty, grant)
@@ -359,10 +384,12 @@
                         logger.info("fleet: {} is {}'s, epoch {}", duty, grant.owner, grant.epoch)
                 case Restore(snapshot):
                     self.ledger.restore(snapshot.data)
+                    for call in self._agreed:
+                        call()
                 case Leads(leader, term, why):
                     mine = leader == self._store.me
                     self._grants = Grants(self._now(), self._duties, self._timing,
-                                          self._renewed_to) if mine else None
+                                          self._renewed_to, self.wish) if mine else None
                     logger.info("fleet: {} leads in term {}: {}", leader or "nobody", term, why)
         if self.raft.commit - self.raft.snapshot.index > FOLD and not self._store.behind:
             self._carry_out(self.raft.compact(self.raft.commit, self.ledger.data()))
--- a/winchspan/owners/leases.py
+++ b/winchspan/owners/leases.py
@@ -21,7 +21,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -147,7 +147,8 @@
 class Grants:
     """The leader's side, from its election on."""
 
-    def __init__(self, now: float, duties: tuple[str, ...], timing: Timing, latest: float = 0.0) -> None:
+    def __init__(self, now: float, duties: tuple[str, ...], timing: Timing, latest: float = 0.0,
+                 wish: Callable[[str, Mapping[str, int], Ledger], str] | None = None) -> None:
         """Begin to lead.
 
         Args:
@@ -155,7 +156,9 @@
             duties: all that are to have an owner.
             timing: the fleet's.
             latest: when the last lease is over that this process renewed in an earlier term.
+            wish: whose a duty is to be, of those who are there; empty: it is left as it is.
         """
+        self._wish = wish
         self.timing, self._duties = timing, duties
         self.latest = latest
         self._old = max(now + timing.after_election, latest)    # when all that others renewed is over
@@ -191,6 +194,9 @@
         return min((at for duty, g in ledger.grants.items() if there.get(g.owner) != g.life
                     and (at := self.over_at(duty, g.epoch)) > now), default=float("inf"))
 
+    def _wished(self, duty: str, there: Mapping[str, int], ledger: Ledger) -> str:
+        return wished(duty, there) if self._wish is None else self._wish(duty, there, ledger)
+
     def plan(self, now: float, there: Mapping[str, int], ledger: Ledger) -> list[Assign | tuple[str, GiveUp]]:
         """What is to be proposed, and whom to ask to let go.
 
@@ -209,7 +215,9 @@
         if not there:
             return found
         for duty in self._duties:
-            grant, to = ledger.grants.get(duty), wished(duty, there)
+            grant, to = ledger.grants.get(duty), self._wished(duty, there, ledger)
+            if not to:
+                continue
             if grant is None:
                 if now >= self._changed + self.timing.settle / 3.0:
                     found.append(Assign(duty, to, there[to], 0))
--- a/winchspan/owners/ledger.py
+++ b/winchspan/owners/ledger.py
@@ -1,4 +1,5 @@
-"""What is agreed of each duty, the same at all members: its owner, that one's process, and the epoch.
+"""What is agreed, the same at all members: of each duty its owner, that one's process, and the epoch; of each
+courier's work who holds its copies, and under which epoch it was last taken over.
 
 An epoch is the index of the log's entry that gave the duty: it only rises, and no two grants share one.
 `Fence` is for whoever stores or serves: an act of an earlier epoch than one that was seen is turned away.
@@ -43,30 +44,112 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Who holds copies of a courier's work: those that count, those to follow them, and the version."""
+
+    names: tuple[str, ...]
+    joining: tuple[str, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetPlace:
+    """Let others hold copies, if the version is still the one that was seen (0: none)."""
+
+    owner: str
+    names: tuple[str, ...]
+    joining: tuple[str, ...]
+    was: int
+
+    def data(self) -> bytes:
+        """As an entry of the log holds it."""
+        return json.dumps({"place": self.owner, "names": self.names, "joining": self.joining,
+                           "was": self.was}, separators=(",", ":")).encode()
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """A courier's work is another's now, all of it: what its copies hold of before is void."""
+
+    owner: str
+    epoch: int
+
+    def data(self) -> bytes:
+        """As an entry of the log holds it."""
+        return json.dumps({"done": self.owner, "epoch": self.epoch}, separators=(",", ":")).encode()
+
+
+WORK = "work-"            # a courier's work is the duty of this and its name
+
+
+def work_of(owner: str) -> str:
+    """The duty that a courier's work is."""
+    return WORK + owner
+
+
+def about(data: bytes) -> str:
+    """The courier whose work an entry is about; empty if it is about none."""
+    try:
+        fields = json.loads(data)
+        return str(fields.get("place", fields.get("done", "")))
+    except (ValueError, AttributeError):
+        return ""
+
+
 class Ledger:
-    """All duties, as the committed entries have them."""
+    """All that is agreed, as the committed entries have it."""
 
     def __init__(self) -> None:
         self.grants: dict[str, Grant] = {}
+        self.places: dict[str, Place] = {}
+        self.done: dict[str, int] = {}         # by courier, the epoch under which its work was taken over
 
     def apply(self, index: int, data: bytes) -> str:
         """Take a committed entry; the duty that has another owner now, or empty."""
         a = read_assign(data)
+        if a is None:
+            self._work(index, data)
         held = self.grants.get(a.duty) if a is not None else None
         if a is None or (held.epoch if held is not None else 0) != a.was:
             return ""                          # it was proposed on what is no more so
         self.grants[a.duty] = Grant(a.owner, a.life, index)
         return a.duty
 
+    def _work(self, index: int, data: bytes) -> None:
+        """Take what is about a courier's work; nothing that was proposed on what is no more so."""
+        try:
+            fields = json.loads(data)
+            if "place" in fields:
+                owner, place = str(fields["place"]), self.places.get(str(fields["place"]))
+                if (place.version if place is not None else 0) == int(fields["was"]):
+                    self.places[owner] = Place(tuple(map(str, fields["names"])),
+                                               tuple(map(str, fields["joining"])), index)
+            elif "done" in fields:
+                owner, epoch = str(fields["done"]), int(fields["epoch"])
+                grant = self.grants.get(work_of(owner))
+                if grant is not None and grant.epoch == epoch and grant.owner != owner:
+                    self.done[owner] = epoch
+                    self.places.pop(owner, None)
+        except (ValueError, KeyError, TypeError):
+            return                                     # another version's
+
     def data(self) -> bytes:
         """All of it, for a snapshot."""
-        return json.dumps({duty: [g.owner, g.life, g.epoch] for duty, g in sorted(self.grants.items())},
-                          separators=(",", ":")).encode()
+        return json.dumps({
+            "grants": {duty: [g.owner, g.life, g.epoch] for duty, g in sorted(self.grants.items())},
+            "places": {owner: [p.names, p.joining, p.version] for owner, p in sorted(self.places.items())},
+            "done": dict(sorted(self.done.items()))}, separators=(",", ":")).encode()
 
     def restore(self, data: bytes) -> None:
         """Begin anew from a snapshot."""
         rows = json.loads(data) if data else {}
-        self.grants = {str(duty): Grant(str(row[0]), int(row[1]), int(row[2])) for duty, row in rows.items()}
+        grants = rows.get("grants", {})
+        self.grants = {str(duty): Grant(str(row[0]), int(row[1]), int(row[2]))
+                       for duty, row in grants.items()}
+        self.places = {str(owner): Place(tuple(row[0]), tuple(row[1]), int(row[2]))
+                       for owner, row in rows.get("places", {}).items()}
+        self.done = {str(owner): int(epoch) for owner, epoch in rows.get("done", {}).items()}
 
 
 class Fence:
