--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,6 +29,7 @@
     "winchspan.undelivered.setup": 3, "winchspan.upgrade": 3, "winchspan.upgrade.steps": 1,
     "winchspan.adapter": 4, "winchspan.__main__": 4, "winchspan.daemon": 4, "winchspan.parts": 4,
     "winchspan.fleet": 4, "winchspan.council": 4, "winchspan.probing": 4, "winchspan.resending": 4,
+    "winchspan.copying": 4,
     "winchspan.part": 4,
     "winchspan.models": 5, "winchspan.standins": 5, "winchspan.emulator": 5, "winchspan.lab": 5,
     "winchspan.cli": 6,
--- a/winchspan/copies/stream.py
+++ b/winchspan/copies/stream.py
@@ -13,11 +13,14 @@
 
 from winchspan.copies.words import Held, Lacks, Records, Whole
 
+IN_STEP = 64              # records that a holder may be behind and count from then on
 TAIL = 512 * 1024         # bytes of the latest records that are kept: what is missing is sent again from them
 FRAME = 64 * 1024         # bytes of records in one frame; a longer record goes alone
 PIECE = 32 * 1024         # bytes of all that is open in one piece
 PACE = 50.0               # ms between two pieces to one holder: 640 KB a second beside the traffic
 SLOW = 300.0              # ms that a holder may leave a record unanswered: within the clients' 400 ms
+BEGINS = 5_000.0          # ms that one may take until it has all that is open
+AT_ONCE = 3               # frames to one holder in a turn: what its connection holds unread is bounded
 AGAIN = 100.0             # ms after which what was not answered is sent once more
 
 
@@ -51,6 +54,7 @@
         self._tail: deque[tuple[int, bytes, float]] = deque()
         self._bytes = 0
         self._holders = {name: _Holder(since=now) for name in sorted(holders)}
+        self._counting = set(self._holders)
         self.passed = False       # a later epoch has been heard of: this courier owns the work no more
 
     # ---- what is written ---------------------------------------------------------------------------------
@@ -62,7 +66,8 @@
     @property
     def secured(self) -> int:
         """The number up to which every holder has all records; -1 while one has not even begun."""
-        return min((h.acked for h in self._holders.values()), default=self.written)
+        return min((h.acked for name, h in self._holders.items() if name in self._counting),
+                   default=self.written)
 
     @property
     def unsecured(self) -> int:
@@ -82,9 +87,10 @@
                 self._bytes -= len(self._tail.popleft()[1])
         return number
 
-    def change(self, now: float, holders: Iterable[str]) -> None:
-        """Others hold copies from now on, as agreed; a new one has nothing yet."""
-        names = set(holders)
+    def change(self, now: float, holders: Iterable[str], joining: Iterable[str] = ()) -> None:
+        """Others hold copies from now on, as agreed; those that join are sent all, and do not count yet."""
+        self._counting = set(holders)
+        names = self._counting | set(joining)
         self._holders = {name: self._holders.get(name) or _Holder(since=now) for name in sorted(names)}
         if not names:
             self._tail.clear()
@@ -184,16 +190,25 @@
             if items and size + len(data) > FRAME:
                 found.append((name, Records(self.owner, self.epoch, first, tuple(items))))
                 first, items, size = number, [], 0
+                if len(found) == AT_ONCE:
+                    break
             items.append(data)
             size += len(data)
-        found.append((name, Records(self.owner, self.epoch, first, tuple(items))))
-        h.sent, h.told_at = self.written, now
+        if items:
+            found.append((name, Records(self.owner, self.epoch, first, tuple(items))))
+        h.sent, h.told_at = first + len(items) - 1, now
         return found
 
     # ---- how holders fare --------------------------------------------------------------------------------
     def slow(self, now: float) -> list[str]:
         """Holders that have left a record unanswered for too long: others are to be named."""
-        return [name for name, h in self._holders.items() if h.since is not None and now - h.since > SLOW]
+        return [name for name, h in self._holders.items() if h.since is not None
+                and now - h.since > (SLOW if h.acked >= 0 else BEGINS)]
+
+    def in_step(self, name: str) -> bool:
+        """Whether a holder has all that was written, but for what is on its way now."""
+        h = self._holders.get(name)
+        return h is not None and h.acked >= 0 and self.written - h.acked <= IN_STEP
 
     def lag(self, now: float) -> float:
         """For how many ms the oldest record has waited for a holder; 0 if none does."""
--- /dev/null
+++ b/winchspan/copying.py
@@ -0,0 +1,442 @@
+"""Copies as they run in a courier: its own journal's stream, others' copies, and work that is taken over.
+
+Of its own work it is the owner while its lease on the duty `work-NAME` holds; until then, and whenever that
+is over, it takes nothing and begins nothing. What waits for a copy waits here (`secure`).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+from winchspan.copies.placing import Takeovers, passed, placed, void
+from winchspan.copies.shelf import Promise, Say, Shelf, Standing
+from winchspan.copies.store import BadRecords, Library
+from winchspan.copies.stream import Stream
+from winchspan.copies.words import Held, Lacks, Passed, Records, Whole, Word
+from winchspan.journal import Entry
+from winchspan.owners.ledger import WORK, Done, SetPlace, work_of
+from winchspan.records import records
+
+if TYPE_CHECKING:
+    from winchspan.council import Council
+    from winchspan.daemon import Daemon
+
+LOOK = 50.0               # ms between two looks at leases, holders and what was not answered
+ASK_AGAIN = 200.0         # ms after which the agreement is asked once more
+MOST_UNSECURED = 256      # records that may wait for a copy; then no message is taken
+COME_AGAIN = 500.0        # ms after which who was turned away may come
+FOLDER = "copies"
+
+
+class _Ask(msgspec.Struct, array_like=True):
+    """The leader asks how far copies of a courier's work go."""
+
+    owner: str
+
+
+class _Standing(msgspec.Struct, array_like=True):
+    """So far; epoch 0: there is none here."""
+
+    owner: str
+    epoch: int
+    upto: int
+
+
+class _Promise(msgspec.Struct, array_like=True):
+    """Whoever goes on with a courier's work asks that nothing older be taken for it, or says that it has."""
+
+    owner: str
+    epoch: int
+    over: bool = False
+
+
+class _Promised(msgspec.Struct, array_like=True):
+    """It has been promised, and is on disk."""
+
+    owner: str
+    epoch: int
+
+
+_WORDS: dict[str, type[Any]] = {"copy": Records, "copy-whole": Whole, "copy-held": Held, "copy-lacks": Lacks,
+                                "copy-passed": Passed, "copy-ask": _Ask, "copy-standing": _Standing,
+                                "copy-promise": _Promise, "copy-promised": _Promised}
+_KINDS = {of: kind for kind, of in _WORDS.items()}
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Copying:
+    """One courier's part in the fleet's copies; `courier.Copies` of its own work."""
+
+    def __init__(self, daemon: Daemon, council: Council, count: int, strict: bool, limit: int) -> None:
+        """Make it, idle; raises OSError.
+
+        Args:
+            daemon: the courier.
+            council: says whose work is whose.
+            count: copies beside the owner's own.
+            strict: whether nothing is taken while there are fewer.
+            limit: bytes of the folder that others' copies may take.
+        """
+        self._daemon, self._council, self._count, self._strict = daemon, council, count, strict
+        self._me = daemon.config.name
+        self._duty = work_of(self._me)
+        self._library = Library(Path(daemon.config.state) / FOLDER, limit, daemon.system.disk)
+        self._library.share = max(1, len(council.others()))
+        self._shelf = Shelf(self._library.copies())
+        self._stream: Stream | None = None
+        self._pending: deque[tuple[int, Callable[[], None], Callable[[], None]]] = deque()
+        self._takeovers = Takeovers()
+        self._adopting: dict[str, Adoption] = {}
+        self._asked_at, self._recovered, self._flushing, self._closed = 0.0, False, False, False
+        self.counts = {"taken_over": 0, "messages_taken_over": 0, "may_have_run": 0, "lost_work": 0,
+                       "refused": 0}
+        for kind, of in _WORDS.items():
+            self._reads(kind, of)
+
+    def _reads(self, kind: str, of: type[Any]) -> None:
+        decoder = msgspec.msgpack.Decoder(of)
+        self._council.hear(kind, lambda name, body: self._heard(name, decoder.decode(body)))
+
+    def now(self) -> float:
+        """The clock that leases go by."""
+        return self._daemon.clock.through_sleep()
+
+    # ---- what the wiring calls ---------------------------------------------------------------------------
+    def start(self) -> None:
+        """Begin to look; nothing is taken up, and nothing begins, before the work is this courier's."""
+        self._daemon.journal.on_written = self._written
+        self._daemon.courier.suspend(True)
+        self._daemon.hooks.may = self._daemon.notices.may = self._mine
+        self._council.wish = self._wish
+        self._council.on_lost(self._lost)
+        self._council.on_agreed(self._look_soon)
+        self._look()
+
+    def close(self) -> None:
+        """Copy no more."""
+        self._closed = True
+        self._daemon.journal.on_written = None
+        self._library.close()
+
+    def figures(self) -> dict[str, int]:
+        """How far copies of this courier's work go, what it holds of others, and what it has taken over."""
+        stream = self._stream
+        return {"fleet.copies.unsecured": stream.unsecured if stream is not None else 0,
+                "fleet.copies.lag_ms": int(stream.lag(self.now())) if stream is not None else 0,
+                "fleet.copies.epoch": stream.epoch if stream is not None else 0,
+                "fleet.copies.mine": int(self._mine()),
+                "fleet.copies.held": sum(copy.epoch > 0 for copy in self._shelf.copies.values()),
+                **{f"fleet.copies.{what}": n for what, n in self.counts.items()}}
+
+    def status(self) -> dict[str, Any]:
+        """Who holds copies of this courier's work, and whose it holds, for people."""
+        place = self._council.ledger.places.get(self._me)
+        return {"copies": {
+            "holders": list(place.names) if place is not None else [],
+            "joining": list(place.joining) if place is not None else [],
+            "held": {owner: {"epoch": c.epoch, "upto": c.upto} for owner, c in self._shelf.copies.items()}}}
+
+    # ---- the seam ----------------------------------------------------------------------------------------
+    def refused(self) -> float:
+        """Ms after which a message may be taken; 0: now."""
+        stream = self._stream
+        if stream is None or not self._mine() or not self._covered() or stream.unsecured > MOST_UNSECURED:
+            self.counts["refused"] += 1
+            return COME_AGAIN
+        return 0.0
+
+    def secure(self, then: Callable[[], None], lost: Callable[[], None]) -> None:
+        """Call `then` once all that is written by now is held elsewhere; `lost` if the work is another's."""
+        stream = self._stream
+        if stream is None:
+            lost()
+        elif not self._pending and self._covered() and stream.secured >= stream.written and self._mine():
+            then()
+        else:
+            self._pending.append((stream.written, then, lost))
+
+    def _mine(self) -> bool:
+        """Whether this courier may act on its own work at this moment."""
+        return self._stream is not None and self._council.may(self._duty) == self._stream.epoch
+
+    def _covered(self) -> bool:
+        """Whether there are as many holders as there are to be, or that does not matter."""
+        place = self._council.ledger.places.get(self._me)
+        return not self._strict or (place is not None and len(place.names) >= self._count)
+
+    def _release(self) -> None:
+        """Call back whoever waits for what is secured now."""
+        stream = self._stream
+        while self._pending and stream is not None and stream.secured >= self._pending[0][0] \
+                and self._covered() and self._mine():
+            self._pending.popleft()[1]()
+
+    # ---- this courier's work -----------------------------------------------------------------------------
+    def _written(self, data: bytes) -> None:
+        """Records are in the journal: they go to holders at the end of this turn, all in one frame."""
+        if self._stream is None:
+            return
+        at, now = 0, self.now()
+        for _, _, size in records(data):
+            self._stream.write(now, data[at:at + size])
+            at += size
+        if not self._flushing:
+            self._flushing = True
+            self._daemon.loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        if self._closed or self._stream is None:
+            return
+        for name, word in self._stream.frames(self.now(), self._daemon.journal.open_records):
+            self._tell(name, word)
+        self._release()
+
+    def _tell(self, name: str, word: Any) -> None:
+        self._council.tell(name, _KINDS[type(word)], _ENCODER.encode(word))
+
+    def _look_soon(self) -> None:
+        if not self._closed:
+            self._daemon.loop.call_soon(self._look_once)
+
+    def _look(self) -> None:
+        if self._closed:
+            return
+        self._daemon.deadlines.after(LOOK, self._look)
+        self._look_once()
+
+    def _look_once(self) -> None:
+        if self._closed:
+            return
+        now, epoch = self.now(), self._council.may(self._duty)
+        if epoch and (self._stream is None or self._stream.epoch != epoch):
+            self._begin(now, epoch)
+        still = not (self._recovered and self._mine())
+        self._daemon.courier.suspend_if(still)
+        self._daemon.notices.hold(still)
+        if self._stream is not None:
+            if passed(self._me, self._stream.epoch, self._council.ledger):
+                self._give_way()
+            else:
+                self._place(now, self._stream)
+                self._flush()
+        for owner in self._takeovers.to_ask(now) if self._council.leads else ():
+            for name in self._council.others():
+                self._tell(name, _Ask(owner))
+            self._heard(self._me, _Ask(owner))
+        self._adopt_on(now)
+
+    def _begin(self, now: float, epoch: int) -> None:
+        """The work is this courier's, under a new epoch: what it held before is its own, or has gone."""
+        journal, ledger = self._daemon.journal, self._council.ledger
+        if not self._recovered and journal.work and passed(self._me, journal.work, ledger):
+            gone = [entry.number for entry in journal.entries]
+            journal.ended(gone)
+            self.counts["lost_work"] += len(gone)
+            logger.warning("copies: this courier's work was taken over while it was away: {} messages are "
+                           "another's", len(gone))
+        journal.ended([entry.number for entry in journal.entries if void(entry.origin, ledger)])
+        place = ledger.places.get(self._me)
+        self._stream = Stream(self._me, epoch, place.names if place is not None else (), now)
+        journal.worked(epoch)
+        if not self._recovered:
+            self._recovered = True
+            self._daemon.courier.recover()
+
+    def _give_way(self) -> None:
+        """Another has taken this courier's work over: nothing of it is begun here any more."""
+        logger.warning("copies: this courier's work was taken over: it has nothing in hand from now on")
+        self.counts["lost_work"] += self._daemon.courier.held
+        self._stream = None
+        pending, self._pending = self._pending, deque()
+        for _, _, lost in pending:
+            lost()
+        self._daemon.courier.let_go()
+        self._daemon.notices.drop()
+
+    def _place(self, now: float, stream: Stream) -> None:
+        """See to it that there are as many holders as there are to be, each there and keeping up."""
+        place = self._council.ledger.places.get(self._me)
+        names, joining = (place.names, place.joining) if place is not None else ((), ())
+        stream.change(now, names, joining)
+        slow = set(stream.slow(now))
+        there = {name for name in self._council.there() if name != self._me} - slow
+        kept = [name for name in (*names, *joining) if name in there]
+        wanted = placed(self._me, there, self._count, self._council.places, kept)
+        was = place.version if place is not None else 0
+        if now < self._asked_at + ASK_AGAIN or not self._mine():
+            return
+        if not self._strict and len(wanted) < len(names):
+            self._asked_at = now
+            logger.error("copies: only {} hold this courier's work, {} are wanted", list(wanted), self._count)
+            self._council.agree(SetPlace(self._me, wanted, (), was).data())
+        elif joining and set(joining) <= there and all(stream.in_step(name) for name in joining):
+            self._asked_at = now
+            self._council.agree(SetPlace(self._me, joining, (), was).data())
+        elif len(wanted) >= len(names) and set(wanted) not in (set(names), set(joining)) and wanted:
+            self._asked_at = now
+            logger.info("copies: {} are to hold this courier's work", ", ".join(wanted))
+            self._council.agree(SetPlace(self._me, names, wanted, was).data())
+
+    # ---- words -------------------------------------------------------------------------------------------
+    def _heard(self, name: str, word: Word | _Ask | _Standing | _Promise | _Promised) -> None:
+        match word:
+            case Records() | Whole() if word.owner == name:
+                self._hold(name, word)
+            case Held():
+                if self._stream is not None and self._stream.held(self.now(), name, word):
+                    self._release()
+            case Lacks():
+                if self._stream is not None:
+                    self._stream.lacks(self.now(), name, word)
+            case Passed():
+                if self._stream is not None and word.epoch > self._stream.epoch:
+                    logger.warning("copies: {} has promised epoch {} of this courier's work", name,
+                                   word.epoch)
+                    self._stream.passed = True
+            case _Ask(owner):
+                copy = self._shelf.copies.get(owner)
+                found = _Standing(owner, copy.epoch if copy else 0, copy.upto if copy else 0)
+                if name == self._me:
+                    self._heard(name, found)
+                else:
+                    self._tell(name, found)
+            case _Standing(owner, epoch, upto):
+                self._takeovers.answered(owner, name, Standing(epoch, upto, name) if epoch else None)
+            case _Promise(owner, epoch, over):
+                if over:
+                    self._forget(owner, epoch)
+                elif self._promise(owner, epoch):
+                    self._tell(name, _Promised(owner, epoch))
+            case _Promised(owner, epoch):
+                if (adoption := self._adopting.get(owner)) is not None and adoption.epoch == epoch:
+                    adoption.promised.add(name)
+
+    def _hold(self, name: str, word: Records | Whole) -> None:
+        """Another sends records of its work: keep them, and answer once they are on disk."""
+        actions = self._shelf.records(word) if isinstance(word, Records) else self._shelf.whole(word)
+        for action in actions:
+            if isinstance(action, Say):
+                self._tell(name, action.word)
+                continue
+            book = self._library.book(word.owner)
+            before = (book.epoch, book.upto) if book is not None else (0, 0)
+            try:
+                kept = self._library.do(action)
+            except BadRecords as err:
+                logger.warning("copies: {} has sent {}", name, err)
+                kept = False
+            if not kept:
+                if not isinstance(action, Promise):
+                    self._shelf.broken(word.owner, *before)
+                return                                 # nothing is said: who waits finds another holder
+
+    def _promise(self, owner: str, epoch: int) -> bool:
+        """Take nothing older for a courier's work from now on; False while the disk does not take that."""
+        actions, _ = self._shelf.promise(owner, epoch)
+        return all(self._library.do(action) for action in actions if isinstance(action, Promise)) \
+            and self._shelf.copies[owner].promised == epoch
+
+    def _forget(self, owner: str, epoch: int) -> None:
+        """A work has been taken over under an epoch: what is here of it is void."""
+        copy = self._shelf.copies.get(owner)
+        if copy is not None and copy.epoch < epoch:
+            self._shelf.copies.pop(owner)
+            self._library.forget(owner)
+            self._promise(owner, epoch)
+
+    # ---- taking over -------------------------------------------------------------------------------------
+    def _wish(self, duty: str, there: Any, ledger: Any) -> str:
+        """As leader: whose a duty is to be."""
+        from winchspan.owners.leases import wished
+
+        if not duty.startswith(WORK):
+            return wished(duty, there)
+        return self._takeovers.wish(self.now(), duty, there, ledger)
+
+    def _lost(self, duty: str) -> None:
+        """This courier lets go of a duty: work that it has not wholly taken over is not its own."""
+        adoption = self._adopting.pop(duty.removeprefix(WORK), None)
+        if adoption is not None:
+            self._daemon.journal.ended([entry.number for entry in adoption.entries])
+
+    def _adopt_on(self, now: float) -> None:
+        """Go on with the work of others that is this courier's to take over, a step at a time."""
+        ledger = self._council.ledger
+        for duty, grant in list(ledger.grants.items()):
+            owner = duty.removeprefix(WORK)
+            if not duty.startswith(WORK) or owner == self._me or grant.owner != self._me:
+                continue
+            epoch = self._council.may(duty)
+            adoption = self._adopting.get(owner)
+            if ledger.done.get(owner, 0) >= grant.epoch:
+                if adoption is not None and adoption.epoch == grant.epoch:
+                    self._in_force(owner, adoption)
+                continue
+            if not epoch or not self._mine():
+                continue
+            if adoption is None or adoption.epoch != epoch:
+                adoption = self._adopting[owner] = Adoption(epoch, now)
+                logger.info("copies: takes over the work of {}, epoch {}", owner, epoch)
+            self._step(now, owner, adoption)
+
+    def _step(self, now: float, owner: str, adoption: Adoption) -> None:
+        """Ask holders for their promise, enter all messages, and say so once that is secured."""
+        place = self._council.ledger.places.get(owner)
+        holders = set(place.names) - {self._me} if place is not None else set()
+        needed = {name for name in holders if name in self._council.there()}
+        if not self._promise(owner, adoption.epoch):
+            return
+        if not needed <= adoption.promised:
+            if now >= adoption.asked_at + ASK_AGAIN:
+                adoption.asked_at = now
+                for name in self._council.others():
+                    self._tell(name, _Promise(owner, adoption.epoch))
+            return
+        if not adoption.entered:
+            for entry in self._library.open_messages(owner):
+                if entry.resend or void(entry.origin, self._council.ledger):
+                    continue                           # kept in its store, or never its own
+                number = self._daemon.journal.adopt(entry, owner, adoption.epoch)
+                if number is None:
+                    logger.error("copies: there is no room for the work of {}", owner)
+                    self._daemon.journal.ended([e.number for e in adoption.entries])
+                    adoption.entries.clear()
+                    return
+                adoption.entries.append(entry)
+            adoption.entered = True
+            self.secure(lambda: setattr(adoption, "secured", True), lambda: None)
+        if adoption.secured and now >= adoption.asked_at + ASK_AGAIN:
+            adoption.asked_at = now
+            self._council.agree(Done(owner, adoption.epoch).data())
+
+    def _in_force(self, owner: str, adoption: Adoption) -> None:
+        """All agree that the work is this courier's: go on with it, and let copies of it go."""
+        del self._adopting[owner]
+        may = sum(entry.out_at is not None or entry.ran_at is not None for entry in adoption.entries)
+        logger.info("copies: has taken over {} messages of {}, {} of which may have run",
+                    len(adoption.entries), owner, may)
+        self.counts["taken_over"] += 1
+        self.counts["messages_taken_over"] += len(adoption.entries)
+        self.counts["may_have_run"] += may
+        self._daemon.courier.adopt(adoption.entries)
+        self._forget(owner, adoption.epoch)
+        for name in self._council.others():
+            self._tell(name, _Promise(owner, adoption.epoch, True))
+
+
+class Adoption:
+    """A work that is being taken over."""
+
+    def __init__(self, epoch: int, now: float) -> None:
+        self.epoch, self.began = epoch, now
+        self.asked_at = float("-inf")
+        self.promised: set[str] = set()
+        self.entries: list[Entry] = []
+        self.entered = self.secured = False
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -169,6 +169,17 @@
         if owner and (owner == name or (grant is not None and grant.owner == name)):
             self._carry_out(self.raft.propose(self._now(), data)[1])
 
+    @property
+    def leads(self) -> bool:
+        """Whether this courier leads the agreement."""
+        return self._grants is not None
+
+    def assign(self, duties: tuple[str, ...]) -> None:
+        """These are the duties that are to have an owner, from now on."""
+        self._duties = duties
+        if self._grants is not None:
+            self._grants.duties = duties
+
     def left(self, duty: str) -> float:
         """For how many ms this courier may still do a duty."""
         return self.leases.left(duty, self._now())
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any, NamedTuple, Protocol
 
 from loguru import logger
@@ -74,6 +75,7 @@
     members: list[tuple[int, int]]
     started: float
     call: Cancellable | None = None
+    over: bool = False        # it ended before it could begin
     cancelled: set[int] = field(default_factory=set)    # handles whose cancellation has been told
 
 
@@ -133,6 +135,19 @@
         """Send a notice until it is answered; `heard` is called then. The `reason` is for people."""
 
 
+class Copies(Protocol):
+    """Others that hold what the journal holds, before an act rests on it."""
+
+    def refused(self) -> float:
+        """Ms after which a message may be taken; 0: now."""
+
+    def secure(self, then: Callable[[], None], lost: Callable[[], None]) -> None:
+        """Call `then` once all that is written by now is held elsewhere, too, perhaps at once.
+
+        Or `lost`, if this courier's work is another's by then.
+        """
+
+
 class Keeper(Protocol):
     """Keeps messages that were not delivered."""
 
@@ -167,12 +182,15 @@
                  journal: Journal, carrier: Carrier, announcer: Announcer,
                  soon: Callable[[Callable[[], None]], object],
                  governor: api.Governor | None = None, keeper: Keeper | None = None,
-                 figures: Figures | None = None, lookout: Lookout | None = None) -> None:
+                 figures: Figures | None = None, lookout: Lookout | None = None,
+                 copies: Copies | None = None) -> None:
         self._settings = settings = bound(settings)
         self._lookout, self._decided = lookout or Lookout(), 0.0
         self._clock, self._deadlines, self._journal = clock, deadlines, journal
         self._carrier, self._announcer, self._soon = carrier, announcer, soon
         self._governor, self._keeper = governor or api.Governor(), keeper
+        self._copies = copies
+        self._waiting: dict[int, Execution] = {}      # executions whose beginning is not held elsewhere yet
         self._known = dict(settings.classes)      # and those of before, of which messages are open
         self._lag: Deadline | None = None         # until clients name the new classes
         self._sender = Sender(replace(settings, classes=self._known), seed, self._governor)
@@ -252,6 +270,8 @@
             raise BadRequest("this class needs an idempotency key")   # without one a repeat would run twice
         if message in self._by_id:
             return NO_QUERY               # the same request once more: it is taken on already
+        if self._copies is not None and (busy := self._copies.refused()) > 0.0:
+            raise Busy(busy, "no other courier holds a copy now")
         now, left = self._clock.now(), left - age
         if left <= 0.0:
             raise Busy(0.0, "its time may be over")     # it has lain unread; nobody is told late
@@ -369,6 +389,33 @@
             entry.attempts, None if entry.ran_at is None else to_ns(max(0.0, unix - entry.ran_at)),
             entry.ran_zone, rests, over=entry.notice is not None)
 
+    def adopt(self, entries: list[Entry]) -> None:
+        """Go on with messages of another courier's work, which are entries of this journal from now on."""
+        now, unix = self._clock.now(), self._clock.lasting()
+        for entry in entries:
+            left, name = entry.deadline - unix, self._class(entry)
+            if (cls := self._known.get(name)) is not None:
+                left = min(left, LONGEST * to_ms(cls.deadline_ns))   # clocks of two machines may differ
+            if entry.id in self._by_id:
+                self._journal.ended([entry.number])
+                continue
+            query = Query(entry.number, entry.id, entry.dest, now + left, entry.token, entry.body, entry.cls,
+                          attempts=entry.attempts, tried=None if self._keeper is None else [])
+            self._add(query)
+            self._event(self._recovered(entry, name, left, unix))
+            if entry.notice is not None:
+                self._over(query)
+                self._announce(query, entry.notice, entry.after_ms)
+        self._turn()
+
+    def let_go(self) -> None:
+        """All that is held is another courier's now: forget it, and begin nothing with it."""
+        numbers = [query.number for query in self._queries]
+        for query in list(self._queries):
+            self._event(api.Withdrawn(query.id))
+            self._over(query)
+        self._journal.ended([*numbers, *(entry.number for entry in self._journal.entries)])
+
     def freeze(self) -> None:
         """Start nothing more; what is out is still taken to its end and journalled."""
         self._frozen = True
@@ -435,6 +482,11 @@
                 if isinstance(event, api.Arrived) and (query := self._query(event.message)) is not None
                 else event for event in events]
 
+    def suspend_if(self, still: bool) -> None:
+        """As `suspend`, where that is a change."""
+        if still != self._suspended:
+            self.suspend(still)
+
     def settled(self) -> bool:
         """Whether all that is out is out at the carrier, and the journal holds all that has happened."""
         executions = [query.execution for query in self._queries if query.execution is not None]
@@ -531,6 +583,8 @@
                 case api.SetTimer(after, token):
                     self._set_timer(now + to_ms(after), token)
                 case api.Recall(endpoint):
+                    for execution in [e for e in self._waiting.values() if e.endpoint == endpoint]:
+                        self._never(execution, api.Outcome.NOT_SENT)
                     self._carrier.recall(endpoint)
                 case api.CloseIdle(endpoint):
                     self._carrier.close_idle(endpoint)
@@ -580,9 +634,32 @@
             until = max(min(to_ms(send.until_ns), query.deadline) for query, send in part)
             limits = [to_ms(send.begin_by_ns) for _, send in part if send.begin_by_ns]
             parcels = [Parcel(query.id, query.token, query.body) for query, _ in part]
-            execution.call = self._carrier.start(
-                endpoint, parcels, until, min(limits, default=None),
-                lambda verdicts, e=execution: self._returned(e, verdicts))   # type: ignore[misc]
+            begin_by = min(limits, default=None)
+            if self._copies is None:
+                self._go(execution, parcels, until, begin_by)
+            else:
+                self._waiting[id(execution)] = execution
+                self._copies.secure(partial(self._go, execution, parcels, until, begin_by),
+                                    partial(self._never, execution, api.Outcome.NOT_SENT))
+
+    def _go(self, execution: Execution, parcels: list[Parcel], until: float, begin_by: float | None) -> None:
+        """Its beginning is recorded as it must be: let it go, unless something has come in between."""
+        self._waiting.pop(id(execution), None)
+        if execution.over:
+            return
+        if self._copies is not None and (self._frozen or self._suspended):
+            self._never(execution, api.Outcome.NOT_SENT)
+            return
+        execution.call = self._carrier.start(execution.endpoint, parcels, until, begin_by,
+                                             lambda verdicts: self._returned(execution, verdicts))
+
+    def _never(self, execution: Execution, outcome: api.Outcome) -> None:
+        """An execution that waited for its record is taken back: it has not begun."""
+        if execution.over:
+            return
+        execution.over = True
+        self._waiting.pop(id(execution), None)
+        self._soon(lambda: self._returned(execution, [Verdict(outcome)] * len(execution.members)))
 
     def _cancel(self, message: str, attempt: int) -> None:
         """Stop waiting for one attempt; its call is closed once none of its members waits."""
@@ -591,8 +668,11 @@
         if query is None or execution is None or (query.handle, attempt) not in execution.members:
             return
         execution.cancelled.add(query.handle)
-        if execution.call is not None and len(execution.cancelled) == len(execution.members):
-            execution.call.cancel()
+        if len(execution.cancelled) == len(execution.members):
+            if execution.call is not None:
+                execution.call.cancel()
+            elif id(execution) in self._waiting:
+                self._never(execution, api.Outcome.CANCELLED)
 
     def _returned(self, execution: Execution, verdicts: list[Verdict]) -> None:
         """A call is back: journal each member's end, and tell the module."""
@@ -686,7 +766,12 @@
                 self._journal.ended([query.number])
             else:
                 self._keeper.keep(entry, lambda: self._journal.ended([query.number]))
-        self._announcer.announce(query.id, state, after_ms, heard, reason)
+        def announce() -> None:
+            self._announcer.announce(query.id, state, after_ms, heard, reason)
+        if self._copies is None:
+            announce()
+        else:
+            self._copies.secure(announce, lambda: None)
 
     def _story(self, query: Query, state: str) -> dict[str, Any] | None:
         """Why a query ends, if that is kept."""
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -12,7 +12,7 @@
 from winchspan import interface as api
 from winchspan.clock import to_ms
 from winchspan.config import Config, ConfigError, reload
-from winchspan.courier import Courier
+from winchspan.courier import Copies, Courier
 from winchspan.deadlines import Deadlines
 from winchspan.figures import Figures
 from winchspan.journal import Journal
@@ -45,12 +45,12 @@
     """The courier's announcer: notices to the platform."""
 
     def __init__(self, notices: Notices, words: bool) -> None:
-        self._notices, self._words = notices, words
+        self.notices, self._words = notices, words
 
     def announce(self, message: str, state: str, after_ms: int, heard: Callable[[], None],
                  reason: str = "") -> None:
         """Owe the platform a notice."""
-        self._notices.add(Notice(message, state, after_ms, heard, reason if self._words else ""))
+        self.notices.add(Notice(message, state, after_ms, heard, reason if self._words else ""))
 
 
 def _log_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -86,32 +86,33 @@
         fleet = operator.get("fleet", {})
         room = config.disk_bytes      # the folder's limit is for both
         if fleet.get("on"):
-            from winchspan.operator.sections import agrees
+            from winchspan.operator.sections import agrees, copies_room
 
-            room -= AGREEMENT_BYTES if agrees(fleet) else 0
-        self._journal = Journal(config.state, room, self.system.disk)
+            room -= (AGREEMENT_BYTES if agrees(fleet) else 0) + copies_room(fleet)
+        self.journal = Journal(config.state, room, self.system.disk)
         own = OWN_FILES + (ADMIN_FILES if config.admin else 0) + bool(operator.get("fleet", {}).get("on"))
         budget = self._budget = SocketBudget(config.sockets - own)
         self._figures = Figures(settings.classes)
         self.classes = dict(settings.classes)       # those in force, for whoever looks at them later
         links = self.links = ServerLinks(loop, self.clock, self.deadlines, budget,
                                           to_ms(settings.connect_timeout_ns), to_ms(settings.keepalive_ns))
-        self.group = HostGroup(lambda news: self.courier.listed(news), links.part, self._journal.by_hand)
-        self.group.by_hand.update(self._journal.offline)
-        self._notices = Notices(links, self.clock, self.deadlines, config.discovery)
+        self.group = HostGroup(lambda news: self.courier.listed(news), links.part, self.journal.by_hand)
+        self.group.by_hand.update(self.journal.offline)
+        self.notices = Notices(links, self.clock, self.deadlines, config.discovery)
         hooks = self.hooks = Hooks(self.group, links, self.clock,
                                     {n: k.per_call for n, k in settings.kinds.items()},
                                     settings.answers_report, self._figures)
         self.governor: api.Governor | None = None   # seams that parts may fill
         self.keeper: Keeper | None = None
+        self.copies: Copies | None = None           # others that hold what the journal holds
         self.pace: Pace | None = None               # of resends, where a fleet keeps it
         self._parts = chosen(self)
-        self.courier = Courier(settings, config.seed, self.clock, self.deadlines, self._journal, hooks,
-                               Announcements(self._notices, words), loop.call_soon, self.governor,
-                               self.keeper, self._figures, lookout)
+        self.courier = Courier(settings, config.seed, self.clock, self.deadlines, self.journal, hooks,
+                               Announcements(self.notices, words), loop.call_soon, self.governor,
+                               self.keeper, self._figures, lookout, self.copies)
         self._watch = Watch(self.group, links, self.deadlines, config.discovery)
         self._clients = ClientLinks(self.courier, self.clock, self.deadlines, budget, self._most(settings),
-                                    links.retire_oldest, words, lookout)
+                                    links.retire_oldest, words, lookout, self.copies)
         self._done = asyncio.Event()
         self._serving = False
 
@@ -129,8 +130,8 @@
         """All that an upgrade handles."""
         from winchspan.upgrade.parts import Whole
 
-        return Whole(self.clock, self.deadlines, self._journal, self.group, self.courier, self._clients,
-                     self.links, self.hooks, self._notices)
+        return Whole(self.clock, self.deadlines, self.journal, self.group, self.courier, self._clients,
+                     self.links, self.hooks, self.notices)
 
     def descriptors_left(self) -> int:
         """Of the descriptors that two processes may hold, what is left beside two sets of files."""
@@ -174,7 +175,7 @@
     def crash(self) -> None:
         """Let go of the journal's file as the system does when a process dies; for emulated machines."""
         if not self._done.is_set():
-            self._journal.drop()
+            self.journal.drop()
 
     async def run(self) -> None:
         """Serve until told to stop; raises OSError."""
@@ -194,7 +195,7 @@
                   self._inherited.descriptors, self._inherited.asked)
             for part in self._parts:
                 part.adopted(self.courier.governor)
-        else:
+        elif self.copies is None:         # else it is taken up once it is known to be this courier's
             self.courier.recover()
         for part in self._parts:
             await part.start()
@@ -208,7 +209,7 @@
         await self._done.wait()
         for part in self._parts:
             part.close()
-        self._journal.close()
+        self.journal.close()
         logger.info("{} ends", self.config.name)
 
     def reload(self) -> None:
@@ -224,7 +225,7 @@
             self._retune(config.settings)
         self.config = config
         self._watch.move(self.config.discovery)
-        self._notices.move(self.config.discovery)
+        self.notices.move(self.config.discovery)
         logger.info("SIGHUP: discovery is at {}", self.config.discovery)
         try:
             operator = self._reread() if self._reread is not None else {}
@@ -265,7 +266,7 @@
 
     def _end_once_done(self) -> None:
         """End as soon as nothing is left that this life may still do."""
-        if self.courier.busy or len(self._notices):
+        if self.courier.busy or len(self.notices):
             self.deadlines.after(20.0, self._end_once_done)
         else:
             self._done.set()
--- a/winchspan/emulator/fleet.py
+++ b/winchspan/emulator/fleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import shutil
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, cast
@@ -72,8 +73,8 @@
     def lose(self) -> None:
         """End it, and lose its folder."""
         self.kill()
-        for path in (self.folder / "state").iterdir():
-            path.unlink()
+        shutil.rmtree(self.folder / "state")
+        (self.folder / "state").mkdir()
 
     def freeze(self) -> None:
         """Hold it up."""
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -16,10 +16,11 @@
 from winchspan.members.swim import Action, Changed, Conflict, Restarted, Send, Swim, Timing
 from winchspan.net.fleet_link import FleetLink
 from winchspan.operator.schema import place_of
-from winchspan.operator.sections import address, agrees, member
+from winchspan.operator.sections import address, agrees, copies_room, member
 from winchspan.part import Operator, Part
 
 if TYPE_CHECKING:
+    from winchspan.copying import Copying
     from winchspan.council import Council
     from winchspan.daemon import Daemon
     from winchspan.probing import Prober
@@ -47,13 +48,14 @@
         self._council: Council | None = None
         self._prober: Prober | None = None
         self._resends: Resends | None = None
+        self._copying: Copying | None = None
         if agrees(values):
             from winchspan.agreement.store import LIMIT, StoreError
             from winchspan.council import Council
 
-            asks = next(key for key in ("duties", "probe-every", "shared-waits", "shared-resends")
+            asks = next(key for key in ("duties", "probe-every", "shared-waits", "shared-resends", "copies")
                         if values[key])
-            if daemon.config.disk_bytes < 2 * LIMIT:
+            if daemon.config.disk_bytes - copies_room(values) < 2 * LIMIT:
                 raise ConfigError(f"{place_of(values, asks)}: fleet.{asks}: the agreement's files take "
                                   f"{LIMIT >> 10} KiB, and limits.disk_mb leaves the journal less than that")
             try:
@@ -67,6 +69,14 @@
 
                 self._prober = Prober(daemon, self._council, values["probe-every"] * 1_000.0,
                                       values["probe-path"], values["shared-waits"])
+            if values["copies"]:
+                from winchspan.copying import Copying
+
+                try:
+                    self._copying = daemon.copies = Copying(daemon, self._council, values["copies"],
+                                                            values["copies-strict"], copies_room(values))
+                except OSError as err:
+                    raise ConfigError(f"{place_of(values, 'copies')}: fleet.copies: {err.strerror}") from None
             if values["shared-resends"]:
                 from winchspan.resending import FleetPace, Resends
                 from winchspan.undelivered.setup import rules
@@ -91,6 +101,8 @@
             self._prober.start()
         if self._resends is not None:
             self._resends.start()
+        if self._copying is not None:
+            self._copying.start()
         self._tick()
 
     def retune(self, settings: api.Settings) -> None:
@@ -109,6 +121,7 @@
         self._link.members = members
         if self._council is not None:
             self._council.reread(members)
+            self._council.assign((*values["duties"], *own_duties(values)))
         self._carry_out(self._swim.reconfigure(self._daemon.clock.now(), members))
 
     def stop(self) -> bool:
@@ -126,7 +139,8 @@
                           "conflict": self._swim.conflict, "members": members,
                           "dropped": dict(self._dropped())}
                 | (self._council.status() if self._council is not None else {})
-                | (self._prober.status() if self._prober is not None else {})}
+                | (self._prober.status() if self._prober is not None else {})
+                | (self._copying.status() if self._copying is not None else {})}
 
     def figures(self) -> dict[str, int]:
         """Members by state, this courier among them, its own health, and frames dropped by cause."""
@@ -139,6 +153,8 @@
             found |= self._prober.figures()
         if self._resends is not None:
             found |= self._resends.figures()
+        if self._copying is not None:
+            found |= self._copying.figures()
         return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in self._dropped().items()}
 
     def _dropped(self) -> Counter[str]:
@@ -155,6 +171,8 @@
             self._prober.close()
         if self._resends is not None:
             self._resends.close()
+        if self._copying is not None:
+            self._copying.close()
         if self._council is not None:
             self._council.close()
         self._socket.close()
@@ -203,6 +221,10 @@
         from winchspan.duties.rounds import DUTY
 
         found += (DUTY,)
+    if values["copies"]:
+        from winchspan.owners.ledger import work_of
+
+        found += tuple(work_of(member(text)[0]) for text in values["members"])
     return found
 
 
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -59,6 +59,7 @@
     story: dict[str, Any] | None = None   # why it ended, for whoever keeps undelivered messages
     table: int = 0                # the table of classes that it was taken under; 0: not known
     size: int = 0                 # bytes of its records in a file written anew
+    origin: tuple[str, int] | None = None     # of another courier's work: whose, and under which epoch
 
     def records(self) -> list[bytes]:
         """The records that stand for it in a file written anew."""
@@ -68,6 +69,8 @@
             fields["v"] = self.table
         if self.resend:
             fields["resend"] = self.resend
+        if self.origin is not None:
+            fields["origin"] = self.origin
         if self.attempts or self.ran_at is not None:
             fields |= {"tries": self.attempts, "out": self.out_at, "out_zone": self.out_zone,
                        "ran": self.ran_at, "ran_zone": self.ran_zone}
@@ -95,6 +98,8 @@
         self.tables: dict[int, list[dict[str, Any]]] = {}   # classes, by the number of their table
         self._table = 0            # the one in force
         self.offline: list[str] = []   # names of endpoints left out by hand
+        self.work = 0              # the epoch under which this courier's work is its own; 0: none is needed
+        self.on_written: Callable[[bytes], None] | None = None     # hears records as they are on disk
         self.last_call = 0.0       # when the latest execution began, Unix ms; 0: none is known of
         self._gen, self._path, other = current(*self._paths)
         self._disk.remove(other)   # written anew since, or not to its end
@@ -188,6 +193,37 @@
     def _classes(self, number: int) -> bytes:
         return record({"t": "classes", "v": number, "rows": self.tables[number]})
 
+    def worked(self, epoch: int) -> None:
+        """Record under which epoch this courier's work is its own."""
+        self.work = epoch
+        self._owe(self._work())
+
+    def _work(self) -> bytes:
+        return record({"t": "work", "e": self.work})
+
+    def adopt(self, entry: Entry, owner: str, epoch: int) -> int | None:
+        """Record an open message of another courier's work as it stands there; its number, None for no room.
+
+        Args:
+            entry: as the copy of that work has it; it is changed into this journal's.
+            owner: whose work it was.
+            epoch: under which it is taken over.
+        """
+        entry.number, entry.origin, entry.size, entry.table = self._next, (owner, epoch), 0, self._table
+        data = entry.records()[0]
+        if self._live + 2 * len(data) + self._live > self._limit * _TAKE or not self._append(data):
+            return None
+        self._next += 1
+        self._entries[entry.number] = entry
+        self._resize(entry, len(data))
+        return entry.number
+
+    def open_records(self) -> list[bytes]:
+        """The records that stand for all that is open at this moment, and for what holds for all of it."""
+        found = [record({"t": "last", "at": self.last_call})] if self.last_call else []
+        found += [self._classes(number) for number in sorted(self.tables)]
+        return found + [piece for entry in self.entries for piece in entry.records()]
+
     def by_hand(self, names: list[str]) -> None:
         """Record which endpoints are left out by hand, all of them."""
         self.offline = names
@@ -252,6 +288,8 @@
                           fields.get("out"), fields.get("out_zone", ""), fields.get("ran"),
                           fields.get("ran_zone", ""), fields.get("notice"), fields.get("after", 0),
                           fields.get("resend", 0), fields.get("story"), int(fields.get("v", 0)))
+            if "origin" in fields:
+                entry.origin = str(fields["origin"][0]), int(fields["origin"][1])
             self._entries[entry.number] = entry
             self._resize(entry, size)
             self._next = max(self._next, entry.number + 1)
@@ -262,6 +300,8 @@
             self.tables[self._table] = list(fields["rows"])
         elif kind == "offline":
             self.offline = [str(name) for name in fields["names"]]
+        elif kind == "work":
+            self.work = int(fields["e"])
         elif kind == "last":
             self.last_call = max(self.last_call, float(fields["at"]))
         elif kind == "started":
@@ -322,6 +362,8 @@
             return False
         self._size += len(data)
         self._complained = False
+        if self.on_written is not None:
+            self.on_written(data)
         return True
 
     def _complain(self, text: str) -> None:
@@ -353,6 +395,8 @@
             last += self._classes(number)
         if self.offline:
             last += self._offline()
+        if self.work:
+            last += self._work()
         gen = self._gen + 1
         begins, ends = head(gen), self._more() + whole(gen)
         total = sum(len(piece) for piece in pieces.values()) + len(begins) + len(last) + len(ends)
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from winchspan.clock import Clock
-from winchspan.courier import BadRequest, Busy
+from winchspan.courier import BadRequest, Busy, Copies
 from winchspan.deadlines import Deadlines
 from winchspan.lookout import Lookout
 from winchspan.net import resp
@@ -26,6 +26,7 @@
 _KEY = re.compile(rb"[0-9a-fA-F]{1,32}")
 _NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
 RETRY_S = 0.1             # after the system has refused to accept
+SECURED_WITHIN = 350.0    # ms for a copy of what was taken: clients wait 400 ms for their answer
 AT_ONCE = 16              # accepted, and requests of one link answered, before others have their turn
 FAULTS = 16               # bad requests on a link that close it
 PENANCE = 100.0           # a link is not read for so long after a bad request
@@ -99,6 +100,8 @@
         self._unsent: list[int] = []      # queries whose answer has not wholly reached the system
         self._answered = False            # what crosses with a close is sent again only between requests
         self._stuck = False               # answers wait for the client to read them
+        self._waits = -1                  # the handle of what is to be
+        self._unsecured = False           # what was taken is to be held elsewhere before its answer goes
         self._later = False               # whole requests wait for their turn, or for a penance to end
         self._since = links.now()         # when it came, was last answered, or its open request began
         self._came = 0.0                  # after when what was last read had come
@@ -218,10 +221,15 @@
                 words, buffer.start = found
                 answers.extend(self._answer(words, taken, age))
                 requests += 1
+                if self._unsecured:
+                    break
         except resp.RespError as err:
             logger.debug("client link: {}", err)
             answers.append(resp.error(f"ERR Protocol error: {err}"))
             broken = True
+        if self._unsecured:
+            self._secure(answers[:-1], taken)
+            return
         if answers:
             self._answered, self._since, self.used = True, self._links.now(), self._links.used()
             self._unsent.extend(taken)
@@ -235,6 +243,40 @@
             self._read_on()
             self._links.later(PENANCE if self.faults > faults else 0.0, self._turn)
 
+    def _secure(self, answers: list[bytes], taken: list[int]) -> None:
+        """Let what was taken last be held elsewhere, too, before its client hears of it."""
+        assert self._transport is not None and self._links.copies is not None
+        self._answered, self._since, self.used = True, self._links.now(), self._links.used()
+        if answers:
+            self._transport.writelines(answers)
+        self._unsent.extend(taken)                # if the client leaves before, nothing is owed
+        self._later = True
+        self._read_on()
+        handle = self._waits = taken[-1]
+        self._links.copies.secure(lambda: self._secured(handle, resp.simple("OK")),
+                                  lambda: self._secured(handle, resp.error("BUSY")))
+        if self._unsecured:
+            self._links.later(SECURED_WITHIN, lambda: self._not_secured(handle))
+
+    def _not_secured(self, handle: int) -> None:
+        """Nobody else holds what was taken: its client is not left to wait in vain."""
+        if self._unsecured and handle == self._waits:
+            self._links.intake.withdraw(handle)
+            self._secured(handle, resp.error("BUSY"))
+
+    def _secured(self, handle: int, answer: bytes) -> None:
+        """What was taken is held elsewhere, or is not to be waited for any more."""
+        if not self._unsecured or handle != self._waits:
+            return
+        self._unsecured, transport = False, self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._since = self._links.now()
+        transport.writelines((answer,))
+        if not transport.get_write_buffer_size():
+            self._unsent.clear()
+        self._links.later(0.0, self._turn)
+
     def _left(self) -> bool:
         """Whether its client has closed the connection.
 
@@ -254,6 +296,7 @@
         try:
             if command == b"SUBMIT":
                 taken.append(submit(words, self._links.intake, age))
+                self._unsecured = self._links.copies is not None
                 return (resp.simple("OK"),)
             if command == b"PING" and self._links.drained:
                 return (resp.error("BUSY out of service"),)
@@ -320,8 +363,9 @@
     """All client links, and the socket that accepts them."""
 
     def __init__(self, intake: Intake, clock: Clock, deadlines: Deadlines, budget: SocketBudget, most: int,
-                 make_room: Callable[[], bool], words: bool = False, lookout: Lookout | None = None) -> None:
-        self.intake, self.lookout = intake, lookout or Lookout()
+                 make_room: Callable[[], bool], words: bool = False, lookout: Lookout | None = None,
+                 copies: Copies | None = None) -> None:
+        self.intake, self.lookout, self.copies = intake, lookout or Lookout(), copies
         self._waiting: float | None = self.lookout.since     # since when some may wait to be accepted,
         self._look = 0                                       # and at which look that was looked at again
         self._words = words               # whether refusals are told in words, too
--- a/winchspan/net/hooks.py
+++ b/winchspan/net/hooks.py
@@ -38,6 +38,7 @@
         # say so, and whoever is to know what it has said here.
         self.bar: Callable[[int], float] | None = None
         self.on_wait: Callable[[int, float], None] | None = None
+        self.may: Callable[[], bool] | None = None     # asked right before a call's first byte
 
     def retune(self, kinds: dict[str, int], reports: bool) -> None:
         """Other settings: messages that a call may hold by kind, and whether answers hold load reports."""
@@ -57,7 +58,7 @@
             pieces = _many(parcels, str(host.address), patience)
         call = self._links.call(host.peer, pieces, until,
                                 lambda end: done(self._read(end, parcels, host.dest)), begin_by=begin_by,
-                                out=lambda: self._figures.sent(len(parcels)))
+                                out=lambda: self._figures.sent(len(parcels)), may=self.may)
         call.about = parcels
         return call
 
--- a/winchspan/net/notices.py
+++ b/winchspan/net/notices.py
@@ -47,6 +47,7 @@
         self._owed: list[Notice] = []
         self._busy = False
         self.out = False                  # a request is on its way
+        self.may: Callable[[], bool] | None = None     # asked right before a request's first byte
         self._held = self._waits = False  # nothing is sent now; something is to be sent afterwards
 
     def __len__(self) -> int:
@@ -68,6 +69,10 @@
             self._busy = True
             self._deadlines.add(self._clock.now(), self._send)
 
+    def drop(self) -> None:
+        """Owe nothing of all this any more: another does."""
+        self._owed.clear()
+
     def hold(self, still: bool) -> None:
         """Send nothing new, or go on; what is out may still be answered."""
         self._held = still
@@ -76,6 +81,9 @@
             self._deadlines.add(self._clock.now(), self._send)
 
     def _send(self) -> None:
+        if not self._owed:                # dropped meanwhile
+            self._busy = False
+            return
         if self._held:
             self._waits = True
             return
@@ -84,7 +92,7 @@
         pieces = http.request("POST", "/v1/notices", str(self._address),
                               body=b"".join(notice.line() for notice in batch))
         self._links.call(Peer(self._address), pieces, self._clock.now() + PATIENCE,
-                         lambda end: self._ended(end, batch))
+                         lambda end: self._ended(end, batch), may=self.may)
 
     def _ended(self, end: CallEnd, batch: list[Notice]) -> None:
         self.out = False
--- a/winchspan/operator/sections.py
+++ b/winchspan/operator/sections.py
@@ -96,7 +96,12 @@
 
 def agrees(values: Mapping[str, Any]) -> bool:
     """Whether a section `fleet` asks for something that rests on an agreement."""
-    return any(values[key] for key in ("duties", "probe-every", "shared-waits", "shared-resends"))
+    return any(values[key] for key in ("duties", "probe-every", "shared-waits", "shared-resends", "copies"))
+
+
+def copies_room(values: Mapping[str, Any]) -> int:
+    """Bytes of the folder that lasts that others' copies may take."""
+    return int(values["copies-mb"] * 1e6) if values["copies"] else 0
 
 
 def _fleet(values: dict[str, Any]) -> Iterator[tuple[str, str]]:
@@ -129,12 +134,15 @@
     for name in values["duties"]:
         if not MEMBER.fullmatch(name):
             yield "duties", f"expected names of up to 64 letters, digits, - and _, not {name!r:.80}"
-        if name.startswith(("probes-", "resends")):
+        if name.startswith(("probes-", "resends", "work-")):
             yield "duties", f"{name!r} is the name of one of the courier's own"
     if 0.0 < values["probe-every"] < 0.5:
         yield "probe-every", f"expected 0, or 0.5 s at least, not {values['probe-every']:g}"
     if not values["probe-path"].startswith("/") or not values["probe-path"].isprintable():
         yield "probe-path", f"expected a path, not {values['probe-path']!r:.80}"
+    if values["copies"] >= max(2, len(values["members"])):
+        yield "copies", (f"{values['copies']} copies need {values['copies'] + 1} members, and there are "
+                         f"{len(values['members'])}")
     if values["answer"] * 3 > values["period"]:
         yield "answer", (f"must be a third of fleet.period, {values['period']:g} s, at most, not "
                          f"{values['answer']:g} s: others are asked within the period")
@@ -160,6 +168,9 @@
         0.0, 86_400),
     Key("probe-path", str, "/-/healthy", "what a probe asks for"),
     Key("shared-waits", bool, False, "a wait that a partner tells one courier binds all of them"),
+    Key("copies", int, 0, "others that hold what a courier holds, to go on with it if it is lost", "", 0, 5),
+    Key("copies-strict", bool, True, "whether nothing is taken while there are fewer"),
+    Key("copies-mb", float, 1.0, "of the folder that lasts, for others' copies", "MB", 0.1, 1_000_000),
     Key("shared-resends", bool, False, "the rules of `resend` count for the fleet, not for each courier"),
     Key("duties", tuple, (), "names of duties, each of which is one courier's at a time", of=str),
 ), rule=_fleet)
--- a/winchspan/owners/leases.py
+++ b/winchspan/owners/leases.py
@@ -159,7 +159,7 @@
             wish: whose a duty is to be, of those who are there; empty: it is left as it is.
         """
         self._wish = wish
-        self.timing, self._duties = timing, duties
+        self.timing, self.duties = timing, duties
         self.latest = latest
         self._old = max(now + timing.after_election, latest)    # when all that others renewed is over
         self._over: dict[tuple[str, int], float] = {}       # by duty and epoch, when its lease is surely over
@@ -214,7 +214,7 @@
         found: list[Assign | tuple[str, GiveUp]] = []
         if not there:
             return found
-        for duty in self._duties:
+        for duty in self.duties:
             grant, to = ledger.grants.get(duty), self._wished(duty, there, ledger)
             if not to:
                 continue
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -208,8 +209,9 @@
             courier.start()
         elif what in ("kill", "lose"):
             courier.kill()
-            for path in (courier.folder / "state").iterdir() if what == "lose" else ():
-                path.unlink()
+            if what == "lose":
+                shutil.rmtree(courier.folder / "state")
+                (courier.folder / "state").mkdir()
         else:
             courier.signal({"freeze": signal.SIGSTOP, "thaw": signal.SIGCONT}[what])
 
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from winchspan.standins.platform import KIND
@@ -88,6 +90,10 @@
         self.calls: list[tuple[float, str]] = []       # messages: when, and to which endpoint
         self.ids: Counter[str] = Counter()             # messages that were answered 200
         self.ports: dict[str, int] = {}
+        self.noticed: Counter[str] = Counter()         # messages that have had a notice
+        self.at_once: list[str] = []                   # messages of which two calls were out together
+        self._held: set[str] = set()                   # endpoints whose calls wait
+        self._out: Counter[str] = Counter()
         self.agent = 0            # port of an agent that takes notices, and has no list
         self._servers: list[Server] = []
 
@@ -95,6 +101,8 @@
         """Listen."""
         async def notices(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while (request := await read_request(reader)) is not None:
+                if request.path == "/v1/notices":
+                    self.noticed.update(json.loads(line)["id"] for line in request.body.splitlines())
                 writer.write(answer(204 if request.path == "/v1/notices" else 404))
         agent = Server(notices)
         await agent.start()
@@ -106,12 +114,44 @@
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                             name: str = name) -> None:
                 while (request := await read_request(reader)) is not None:
+                    id_ = request.headers.get("x-request-id", "")
+                    if id_ and name in self._held:
+                        self._begins(id_)
+                        if not await self._let_go(reader):
+                            self._out[id_] -= 1        # the courier has given it up, or has died
+                            return
+                        self._out[id_] -= 1
                     writer.write(self._answer(name, request))
             server = Server(serve)
             await server.start()
             self._servers.append(server)
             self.ports[name] = server.port
 
+    def _begins(self, id_: str) -> None:
+        if self._out[id_]:
+            self.at_once.append(id_)
+        self._out[id_] += 1
+
+    async def _let_go(self, reader: asyncio.StreamReader) -> bool:
+        """Wait until calls are answered again; False if the courier has closed the connection before."""
+        gone = asyncio.ensure_future(reader.read(1))   # nothing comes while a call is out, but its end
+        while self._held and not gone.done():
+            await asyncio.wait([gone], timeout=0.01)
+        if gone.done():
+            return False
+        gone.cancel()
+        with suppress(asyncio.CancelledError, OSError):
+            await gone
+        return True
+
+    def hold(self, *names: str) -> None:
+        """Answer no message at some endpoints until `let_go`."""
+        self._held = set(names)
+
+    def let_go(self) -> None:
+        """Answer all."""
+        self._held = set()
+
     def _answer(self, name: str, request: Request) -> bytes:
         if "x-probe" in request.headers:
             duty, epoch, turn, owner = request.headers["x-probe"].split()
