--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,7 +31,7 @@
     "winchspan.fleet": 4, "winchspan.council": 4, "winchspan.probing": 4, "winchspan.resending": 4,
     "winchspan.copying": 4,
     "winchspan.part": 4,
-    "winchspan.models": 5, "winchspan.standins": 5, "winchspan.emulator": 5, "winchspan.lab": 5,
+    "winchspan.models": 5, "winchspan.standins": 5,  "winchspan.emulator": 5, "winchspan.lab": 5,
     "winchspan.cli": 6,
 }
 PURE = {module for module, number in FLOORS.items() if number == 1} | {"winchspan.interface"}
--- a/winchspan/copies/placing.py
+++ b/winchspan/copies/placing.py
@@ -52,11 +52,23 @@
             self._asked[owner] = now + ASK_EACH
         return found
 
-    def wish(self, now: float, duty: str, there: Mapping[str, int], ledger: Ledger) -> str:
-        """Whose a courier's work is to be; empty: it is left as it is."""
+    def wish(self, now: float, duty: str, there: Mapping[str, int], ledger: Ledger,
+             works: Mapping[str, tuple[int, int]]) -> str:
+        """Whose a courier's work is to be; empty: it is left as it is.
+
+        Args:
+            now: the clock's reading.
+            duty: the work.
+            there: who is there, with their processes' numbers.
+            ledger: what is agreed.
+            works: by member, its process and the epoch that its journal knows of its work.
+        """
         owner = duty.removeprefix(WORK)
         grant = ledger.grants.get(duty)
-        if owner in there:
+        life, knows = works.get(owner, (0, 0))
+        lost = (grant is not None and grant.owner == owner and life not in (0, grant.life) and not knows
+                and ledger.done.get(owner, 0) < grant.epoch)
+        if owner in there and not lost:
             self._forget(owner)
             return owner
         if grant is None:
@@ -67,7 +79,7 @@
         if self._is_empty(owner, grant, ledger):
             return ""
         since = self._missing.setdefault(owner, now)
-        if now - since < GRACE:
+        if now - since < GRACE and not lost:           # its folder is lost: there is nothing to wait for
             return ""
         self._asked.setdefault(owner, now)
         return self._adopter(owner, there, ledger.places.get(owner))
--- a/winchspan/copying.py
+++ b/winchspan/copying.py
@@ -245,6 +245,7 @@
         place = ledger.places.get(self._me)
         self._stream = Stream(self._me, epoch, place.names if place is not None else (), now)
         journal.worked(epoch)
+        self._council.works[self._me] = self._council.works[self._me][0], epoch
         if not self._recovered:
             self._recovered = True
             self._daemon.courier.recover()
@@ -358,7 +359,7 @@
 
         if not duty.startswith(WORK):
             return wished(duty, there)
-        return self._takeovers.wish(self.now(), duty, there, ledger)
+        return self._takeovers.wish(self.now(), duty, there, ledger, self._council.works)
 
     def _lost(self, duty: str) -> None:
         """This courier lets go of a duty: work that it has not wholly taken over is not its own."""
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -57,6 +57,7 @@
     clock: float = 0.0        # what its clock reads, ms
     zone: str = ""
     region: str = ""
+    work: int = 0             # the epoch under which its folder's journal is its own; 0: it has none
 
 
 class _Said(msgspec.Struct):
@@ -96,6 +97,7 @@
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
+        self.works = {self._name: (life, daemon.journal.work)}     # by member, its process and its `work`
         self.places = {self._name: place}     # zone and region by member, as each has said
         self._clocks, self._off = Clocks(), dict[str, float]()     # whose clock is off, and by how much
         self._renewed_to = 0.0    # when the last lease is over that this process has renewed, in any term
@@ -231,6 +233,7 @@
                 here = _HERE.decode(body)
                 if name_of(here.member) == name:
                     self._founding.here(here.member, here.empty)
+                    self.works[name] = here.life, here.work
                     self.places[name] = here.zone[:64], here.region[:64]
                     self._clocks.saw(self._now(), name, here.life, here.clock)
                 return
@@ -297,7 +300,8 @@
 
     def _here(self, name: str) -> None:
         empty = not self.raft.last[0] and not self.raft.term
-        here = _Here(self._store.me, empty, self._life, self._now(), *self.places[self._name])
+        here = _Here(self._store.me, empty, self._life, self._now(), *self.places[self._name],
+                     self.works[self._name][1])
         self._streams.say(name, "here", _ENCODER.encode(here))
 
     # ---- what is due -------------------------------------------------------------------------------------
--- a/winchspan/emulator/fleet.py
+++ b/winchspan/emulator/fleet.py
@@ -9,7 +9,7 @@
 import asyncio
 import json
 import shutil
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, cast
 
@@ -109,7 +109,8 @@
     """Some members, `n0` and on, and endpoints that they probe."""
 
     def __init__(self, folder: Path, size: int, seed: int, endpoints: int = 24, every: float = 1.0,
-                 drifts: tuple[float, ...] = (), way: Way | None = None, more: str = "") -> None:
+                 drifts: tuple[float, ...] = (), way: Way | None = None, more: str = "",
+                 changes: Mapping[str, Any] | None = None) -> None:
         """Make it; nobody runs yet.
 
         Args:
@@ -121,7 +122,9 @@
             drifts: of the members' clocks, seconds in a second.
             way: what the network is like.
             more: stands in each section `fleet`.
+            changes: of the platform's settings.
         """
+        self._changes = dict(changes or {})
         self.loop = EmulatedLoop()
         self.network = Network(self.loop, seed, way)
         self.loop.outside = Life(Machine(self.network, OUTSIDE))
@@ -141,10 +144,16 @@
         folder = self.members[name].folder
         (folder / "state").mkdir(parents=True, exist_ok=True)
         (folder / "config.json").write_text(json.dumps({
-            "name": name, "listen": f"{HOST}:{PORTS + 2 * number + 1}", "discovery": f"{HOST}:9",
+            "name": name, "listen": f"{HOST}:{PORTS + 2 * number + 1}",
+            "discovery": f"{HOST}:{self.endpoints.agent}",
             "state": str(folder / "state"), "seed": f"{number + 1:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-            "known": self.endpoints.known(), "settings": wire(platform(len(self.names)))}))
+            "known": self.endpoints.known(), "settings": wire(platform(len(self.names), **self._changes))}))
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """Where clients connect, by member."""
+        return {name: PORTS + 2 * number + 1 for number, name in enumerate(self.names)}
 
     def section(self, name: str) -> str:
         """A member's section `fleet`."""
@@ -177,8 +186,9 @@
         """Start all, and wait until each endpoint has been probed."""
         for number, name in enumerate(self.names):
             self.loop.call_later(0.001 * number, self.members[name].start)
-        self.until("each endpoint has been probed",
-                   lambda: len({act.endpoint for act in self.endpoints.acts}) == len(self.endpoints.ports))
+        if self._every:
+            self.until("each endpoint has been probed",
+                       lambda: len({a.endpoint for a in self.endpoints.acts}) == len(self.endpoints.ports))
 
     def cut(self, source: str, target: str) -> None:
         """Let nothing pass in one direction."""
