--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -146,7 +146,9 @@
 def test_with_the_fleet_off_nothing_of_it_is_imported():
     code = ("import sys, winchspan.__main__, winchspan.daemon, winchspan.system; from pathlib import Path;"
             "from winchspan.operator.sections import load; load(Path('deploy/kenanga.sexp'));"
-            "print([m for m in sys.modules if 'members' in m or 'fleet' in m or 'msgspec' in m])")
+            "print([m for m in sys.modules if m.startswith('winchspan') and any(part in m for part in ("
+            "'members', 'agreement', 'owners', 'duties', 'copies', 'copying', 'probing', 'resending',"
+            "'council', 'fleet', 'models')) or 'msgspec' in m])")
     root = Path(__file__).parent.parent
     out = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True)
     assert out.stdout.strip() == "[]"
--- a/winchspan/copying.py
+++ b/winchspan/copying.py
@@ -160,6 +160,9 @@
             then()
         else:
             self._pending.append((stream.written, then, lost))
+            if not self._flushing:
+                self._flushing = True
+                self._daemon.loop.call_soon(self._flush)
 
     def _mine(self) -> bool:
         """Whether this courier may act on its own work at this moment."""
@@ -179,16 +182,13 @@
 
     # ---- this courier's work -----------------------------------------------------------------------------
     def _written(self, data: bytes) -> None:
-        """Records are in the journal: they go to holders at the end of this turn, all in one frame."""
+        """Records are in the journal: they go out once somebody waits for one, or at the next look."""
         if self._stream is None:
             return
         at, now = 0, self.now()
         for _, _, size in records(data):
             self._stream.write(now, data[at:at + size])
             at += size
-        if not self._flushing:
-            self._flushing = True
-            self._daemon.loop.call_soon(self._flush)
 
     def _flush(self) -> None:
         self._flushing = False
