--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -163,10 +163,11 @@
 def test_a_folder_that_was_lost_and_comes_back_at_once_is_taken_over_first(tmp_path: Path,
                                                                            monkeypatch: pytest.MonkeyPatch):
     """Else its courier would go on with nothing, and all that it had taken would be lost."""
-    def restarts(fleet: EmulatedFleet, kind: str, name: str, rng: random.Random) -> None:
-        fleet.act("lose", name)
-        fleet.run(0.6)
-        fleet.act("start", name)
+    def restarts(fleet: EmulatedFleet, struck: dict[str, str], rng: random.Random) -> None:
+        for name in struck:
+            fleet.act("lose", name)
+            fleet.run(0.6)
+            fleet.act("start", name)
     monkeypatch.setattr("winchspan.standins.losses.strike", restarts)
     found = play(tmp_path, 3, 4, 1)
     assert found.lost == [] and found.both == [] and found.at_once == [] and found.taken_over > 0
--- a/winchspan/standins/losses.py
+++ b/winchspan/standins/losses.py
@@ -48,7 +48,7 @@
 
 
 def play(folder: Path, members: int, losses: int, seed: int, copies: int = 1, rate: float = 30.0) -> Judged:
-    """Let a fleet under load lose couriers at random, one after the other, and be whole again in between."""
+    """Let a fleet under load lose couriers at random, at most as many at once as there are copies."""
     rng, kinds = random.Random(seed), Counter[str]()
     way = Way(latency=0.3, jitter=0.5)
     fleet = EmulatedFleet(folder, members, seed, PARTNERS, 0.0, way=way, more=f"(copies {copies})",
@@ -62,10 +62,10 @@
         load = Load(fleet.ports, rate, PARTNERS, fleet.now, seed)
         task, begun = fleet.loop.create_task(load.run()), fleet.now()
         for _ in range(losses):
-            name, kind = rng.choice(fleet.names), rng.choice(KINDS)
-            kinds[kind] += 1
+            struck = {name: rng.choice(KINDS) for name in rng.sample(fleet.names, rng.randint(1, copies))}
+            kinds.update(struck.values())
             fleet.run(rng.uniform(0.5, 2.0))
-            strike(fleet, kind, name, rng)
+            strike(fleet, struck, rng)
             fleet.until("all are there again", fleet.whole)
             fleet.run(rng.uniform(0.5, 3.0))
         load.stop()
@@ -79,21 +79,19 @@
         fleet.close()
 
 
-def strike(fleet: EmulatedFleet, kind: str, name: str, rng: random.Random) -> None:
-    """Let one be lost in some way, and come back after a while."""
-    if kind == "blink":
-        fleet.act("kill", name)
-        fleet.run(0.6)
-    elif kind in ("kill", "lose", "freeze"):
-        fleet.act(kind, name)
-        fleet.run(rng.uniform(1.0, 8.0))
-    else:
+def strike(fleet: EmulatedFleet, struck: dict[str, str], rng: random.Random) -> None:
+    """Let some be lost at the same time, each in its way, and come back after a while."""
+    for name, kind in struck.items():
+        if kind in ("kill", "lose", "freeze", "blink"):
+            fleet.act("kill" if kind == "blink" else kind, name)
+            continue
         for other in fleet.names:
             if other != name and kind != "deaf":
                 fleet.cut(name, other)
             if other != name and kind != "mute":
                 fleet.cut(other, name)
-        fleet.run(rng.uniform(0.3, 8.0))
-        fleet.heal()
-    fleet.act("thaw", name)
-    fleet.act("start", name)
+    fleet.run(0.6 if "blink" in struck.values() else rng.uniform(0.3, 8.0))
+    fleet.heal()
+    for name in struck:
+        fleet.act("thaw", name)
+        fleet.act("start", name)
