Let a fleet's part go through what rests on its agreement as one list

Need: probes, resends and copies stood side by side four times in fleet.py. Change: one small Protocol and one list.

--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from loguru import logger
 
@@ -20,11 +20,25 @@
 from winchspan.part import Operator, Part
 
 if TYPE_CHECKING:
-    from winchspan.copying import Copying
     from winchspan.council import Council
     from winchspan.daemon import Daemon
     from winchspan.probing import Prober
-    from winchspan.resending import Resends
+
+
+class Work(Protocol):
+    """What rests on the fleet's agreement: probes, resends, copies."""
+
+    def start(self) -> None:
+        """Begin."""
+
+    def figures(self) -> dict[str, int]:
+        """What it adds to the figures."""
+
+    def status(self) -> dict[str, Any]:
+        """What it adds to the status, for people."""
+
+    def close(self) -> None:
+        """The life ends."""
 
 
 class FleetPart(Part):
@@ -47,8 +61,7 @@
         self._swim = Swim(daemon.config.name, members, life, daemon.config.seed, daemon.clock.now(), timing)
         self._council: Council | None = None
         self._prober: Prober | None = None
-        self._resends: Resends | None = None
-        self._copying: Copying | None = None
+        self._work: list[Work] = []
         if agrees(values):
             from winchspan.agreement.store import LIMIT, StoreError
             from winchspan.council import Council
@@ -69,21 +82,24 @@
 
                 self._prober = Prober(daemon, self._council, values["probe-every"] * 1_000.0,
                                       values["probe-path"], values["shared-waits"])
+                self._work.append(self._prober)
             if values["copies"]:
                 from winchspan.copying import Copying
 
                 try:
-                    self._copying = daemon.copies = Copying(daemon, self._council, values["copies"],
-                                                            values["copies-strict"], copies_room(values))
+                    copying = daemon.copies = Copying(daemon, self._council, values["copies"],
+                                                      values["copies-strict"], copies_room(values))
                 except OSError as err:
                     raise ConfigError(f"{place_of(values, 'copies')}: fleet.copies: {err.strerror}") from None
+                self._work.append(copying)
             if values["shared-resends"]:
                 from winchspan.resending import FleetPace, Resends
                 from winchspan.undelivered.setup import rules
 
                 named = rules(daemon.wishes.operator.get("resend", {}))
-                self._resends = Resends(daemon, self._council, named)
-                daemon.pace = FleetPace(self._resends)
+                resends = Resends(daemon, self._council, named)
+                daemon.pace = FleetPace(resends)
+                self._work.append(resends)
         self._link = FleetLink(members, secret, self._got)
         self._timer: Deadline | None = None
 
@@ -97,12 +113,8 @@
                 where = place_of(self._daemon.wishes.operator["fleet"], "listen")
                 raise ConfigError(f"{where}: fleet.listen: {self._link.members[self._swim.me]}, TCP: "
                                   f"{err.strerror}") from None
-        if self._prober is not None:
-            self._prober.start()
-        if self._resends is not None:
-            self._resends.start()
-        if self._copying is not None:
-            self._copying.start()
+        for work in self._work:
+            work.start()
         self._tick()
 
     def retune(self, settings: api.Settings) -> None:
@@ -139,8 +151,7 @@
                           "conflict": self._swim.conflict, "members": members,
                           "dropped": dict(self._dropped())}
                 | (self._council.status() if self._council is not None else {})
-                | (self._prober.status() if self._prober is not None else {})
-                | (self._copying.status() if self._copying is not None else {})}
+                | {key: value for work in self._work for key, value in work.status().items()}}
 
     def figures(self) -> dict[str, int]:
         """Members by state, this courier among them, its own health, and frames dropped by cause."""
@@ -149,12 +160,8 @@
                   "fleet.frames.received": self._link.received}
         if self._council is not None:
             found |= self._council.figures()
-        if self._prober is not None:
-            found |= self._prober.figures()
-        if self._resends is not None:
-            found |= self._resends.figures()
-        if self._copying is not None:
-            found |= self._copying.figures()
+        for work in self._work:
+            found |= work.figures()
         return found | {f"fleet.dropped.{cause.replace(' ', '_')}": n for cause, n in self._dropped().items()}
 
     def _dropped(self) -> Counter[str]:
@@ -167,12 +174,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self._link.close()
-        if self._prober is not None:
-            self._prober.close()
-        if self._resends is not None:
-            self._resends.close()
-        if self._copying is not None:
-            self._copying.close()
+        for work in self._work:
+            work.close()
         if self._council is not None:
             self._council.close()
         self._socket.close()
--- a/winchspan/resending.py
+++ b/winchspan/resending.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from loguru import logger
@@ -111,6 +111,10 @@
         if duty == DUTY and self._owner == self._me:
             self.allowance.done()
 
+    def status(self) -> dict[str, Any]:
+        """Nothing that the figures do not tell."""
+        return {}
+
     def _ordered(self, name: str, what: _Order) -> None:
         if not self._fence.admit(DUTY, what.epoch):
             logger.warning("fleet: {} allows resends under epoch {}, and a later one is known", name,
