--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,6 +18,7 @@
     "winchspan.undelivered": 1, "winchspan.undelivered.record": 1, "winchspan.undelivered.evidence": 1,
     "winchspan.undelivered.rules": 1, "winchspan.undelivered.evict": 1,
     "winchspan.members": 1, "winchspan.owners": 1, "winchspan.duties": 1,
+    "winchspan.copies": 1, "winchspan.copies.store": 2,
     "winchspan.agreement": 1, "winchspan.agreement.store": 2,
     "winchspan.records": 2,
     "winchspan.courier": 2, "winchspan.journal": 2,
@@ -28,8 +29,9 @@
     "winchspan.undelivered.setup": 3, "winchspan.upgrade": 3, "winchspan.upgrade.steps": 1,
     "winchspan.adapter": 4, "winchspan.__main__": 4, "winchspan.daemon": 4, "winchspan.parts": 4,
     "winchspan.fleet": 4, "winchspan.council": 4, "winchspan.probing": 4, "winchspan.resending": 4,
+    "winchspan.copying": 4,
     "winchspan.part": 4,
-    "winchspan.models": 5, "winchspan.standins": 5, "winchspan.emulator": 5, "winchspan.lab": 5,
+    "winchspan.models": 5, "winchspan.standins": 5,  "winchspan.emulator": 5, "winchspan.lab": 5,
     "winchspan.cli": 6,
 }
 PURE = {module for module, number in FLOORS.items() if number == 1} | {"winchspan.interface"}
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,210 @@
+"""Work in hand of couriers that are lost: another goes on with it, once; the one that wakes does no harm."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from winchspan.copies.placing import GRACE, Takeovers, passed, placed, void
+from winchspan.copies.shelf import Standing
+from winchspan.copying import Copying
+from winchspan.emulator.fleet import EmulatedFleet
+from winchspan.owners.ledger import Assign, Done, Ledger, SetPlace
+from winchspan.standins.couriers import Fleet, wait_for
+from winchspan.standins.losses import play
+from winchspan.standins.probed import Probed
+
+from .test_fleet_duties import submit
+
+NAMES = ("n0", "n1", "n2")
+
+
+@pytest.fixture
+def partner() -> Iterator[Probed]:
+    """Partners that hold every call until they are let go."""
+    found = Probed(3, 200.0)
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def fleet(tmp_path: Path, partner: Probed) -> Iterator[Fleet]:
+    found = Fleet(tmp_path, 3, "(copies 1)", True, discovery=partner.agent, known=partner.known())
+    found.start()
+    wait_for("all take messages", lambda: all(covered(found, name) for name in NAMES))
+    yield found
+    found.stop()
+
+
+def covered(fleet: Fleet, name: str) -> bool:
+    """Whether a courier's work is its own, and held elsewhere."""
+    found = fleet[name].figures()
+    return bool(found.get("fleet.copies.mine")) and found.get("fleet.copies.unsecured") == 0 \
+        and submit(fleet[name].listen, 0, 5_000).startswith(b"+OK")
+
+
+def hand_in(fleet: Fleet, name: str, count: int, patience: int = 9_000) -> list[str]:
+    """Hand messages in at a courier; the ids of those that it has taken."""
+    taken = []
+    for number in range(count):
+        id_ = f"{time.monotonic_ns() % (1 << 64):016x}"
+        if submit(fleet[name].listen, number % 3, patience, id_).startswith(b"+OK"):
+            taken.append(id_)
+    return taken
+
+
+def ended(partner: Probed, ids: list[str]) -> bool:
+    """Whether each has been delivered or has had its notice."""
+    return all(partner.ids[id_] or partner.noticed[id_] for id_ in ids)
+
+
+def once(partner: Probed, ids: list[str]) -> None:
+    """No message ran twice at once, and none had two ends."""
+    assert partner.at_once == []
+    assert all(partner.ids[id_] <= 1 for id_ in ids)
+    assert not [id_ for id_ in ids if partner.ids[id_] and partner.first_end[id_] == "notice"]
+
+
+@pytest.mark.parametrize("folder", ["kept", "lost"])
+def test_what_a_courier_that_is_lost_for_good_has_taken_ends_elsewhere(fleet: Fleet, partner: Probed,
+                                                                      folder: str):
+    partner.hold("s-0", "s-1", "s-2")
+    ids = hand_in(fleet, "n1", 30)
+    assert len(ids) == 30
+    if folder == "lost":
+        fleet.act("lose", "n1")
+    else:
+        fleet["n1"].kill()
+    partner.let_go()
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    once(partner, ids)
+    others = [fleet[name].figures() for name in ("n0", "n2")]
+    assert sum(found["fleet.copies.taken_over"] for found in others) == 1
+
+
+def test_a_restart_within_its_time_is_no_takeover(fleet: Fleet, partner: Probed):
+    partner.hold("s-0", "s-1", "s-2")
+    ids = hand_in(fleet, "n1", 10)
+    fleet["n1"].kill()
+    partner.let_go()
+    fleet["n1"].start()
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    once(partner, ids)
+    assert all(fleet[name].figures()["fleet.copies.taken_over"] == 0 for name in NAMES)
+
+
+def test_an_owner_that_was_frozen_and_wakes_has_nothing_in_hand(fleet: Fleet, partner: Probed):
+    partner.hold("s-0", "s-1", "s-2")
+    ids = hand_in(fleet, "n1", 20)
+    fleet["n1"].signal(signal.SIGSTOP)
+    wait_for("another goes on with its work", lambda: any(
+        fleet[name].figures().get("fleet.copies.taken_over") for name in ("n0", "n2")))
+    fleet["n1"].signal(signal.SIGCONT)
+    wait_for("it knows", lambda: "it has nothing in hand" in fleet["n1"].log())
+    partner.let_go()
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    wait_for("it takes messages again", lambda: covered(fleet, "n1"))
+    once(partner, ids)
+    wait_for("it has nothing in hand", lambda: fleet["n1"].figures().get("current") == 0)
+
+
+def test_a_holder_that_is_lost_is_replaced_and_nothing_that_one_loss_could_lose_is_taken(fleet: Fleet,
+                                                                                      partner: Probed):
+    ids = hand_in(fleet, "n1", 5)
+    for name in ("n0", "n2"):
+        fleet[name].kill()
+    wait_for("it takes nothing alone", lambda: submit(fleet["n1"].listen, 0).startswith(b"-BUSY"))
+    fleet["n0"].start()
+    wait_for("it takes messages again", lambda: covered(fleet, "n1"))
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    once(partner, ids)
+
+
+@pytest.mark.parametrize(("seed", "members", "copies"), [(1, 3, 1), (4, 3, 1), (2, 5, 2)])
+def test_losses_at_random_in_virtual_time_lose_nothing_and_double_nothing(tmp_path: Path, seed: int,
+                                                                          members: int, copies: int):
+    found = play(tmp_path, members, 9, seed, copies)      # seed 1: one withdrawn while it waited went out
+    assert found.taken > 1_000
+    assert found.lost == [] and found.both == [] and found.at_once == [] and found.doubled == []
+
+
+def broken(tmp_path: Path, seeds: range) -> bool:
+    """Whether something is lost, ends twice, runs at once or is doubled in one of some runs."""
+    for seed in seeds:
+        found = play(tmp_path / str(seed), 3, 8, seed)
+        if found.lost or found.both or found.at_once or found.doubled:
+            return True
+    return False
+
+
+def test_a_start_that_is_not_copied_before_its_call_is_found_out(tmp_path: Path,
+                                                                 monkeypatch: pytest.MonkeyPatch):
+    """The record that an execution begins never leaves the owner: the adopter takes it for never sent."""
+    written = Copying._written
+
+    def but_starts(self: Copying, data: bytes) -> None:
+        if b'"t":"started"' not in data[:40]:
+            written(self, data)
+    monkeypatch.setattr(Copying, "_written", but_starts)
+    assert broken(tmp_path, range(6))
+
+
+def test_a_woken_owner_that_is_not_told_is_found_out(tmp_path: Path, monkeypatch: pytest.MonkeyPatch):
+    monkeypatch.setattr(Copying, "_mine", lambda self: self._stream is not None)
+    monkeypatch.setattr(Copying, "_give_way", lambda self: None)
+    assert broken(tmp_path, range(6))
+
+
+def test_a_folder_that_was_lost_and_comes_back_at_once_is_taken_over_first(tmp_path: Path,
+                                                                           monkeypatch: pytest.MonkeyPatch):
+    """Else its courier would go on with nothing, and all that it had taken would be lost."""
+    def restarts(fleet: EmulatedFleet, struck: dict[str, str], rng: random.Random) -> None:
+        for name in struck:
+            fleet.act("lose", name)
+            fleet.run(0.6)
+            fleet.act("start", name)
+    monkeypatch.setattr("winchspan.standins.losses.strike", restarts)
+    found = play(tmp_path, 3, 4, 1)
+    assert found.lost == [] and found.both == [] and found.at_once == [] and found.taken_over > 0
+
+
+def test_whose_a_lost_work_is_follows_from_grace_promises_and_the_longest_copy():
+    ledger, takeovers, works = Ledger(), Takeovers(), {"n1": (11, 5)}
+    ledger.apply(5, Assign("work-n1", "n1", 11, 0).data())
+    ledger.apply(6, SetPlace("n1", ("n0", "n2"), (), 0).data())
+    there = {"n0": 1, "n2": 1}
+
+    def wish(now: float, there: dict[str, int] = there) -> str:
+        return takeovers.wish(now, "work-n1", there, ledger, works)
+    assert wish(0.0, {"n1": 11, **there}) == "n1"
+    assert wish(0.0) == "" == wish(GRACE - 1.0) and takeovers.to_ask(GRACE) == []
+    assert wish(GRACE) == "" and takeovers.to_ask(GRACE) == ["n1"]
+    takeovers.answered("n1", "n0", Standing(5, 10, "n0"))
+    assert wish(GRACE) == "", "one that counts has not answered"
+    takeovers.answered("n1", "n2", Standing(5, 12, "n2"))
+    assert wish(GRACE) == "n2", "the longest"
+    ledger.apply(7, Assign("work-n1", "n2", 1, 5).data())
+    assert wish(GRACE) == "n2" and wish(GRACE, {"n0": 1}) == "", "its adopter is gone: it waits again"
+    ledger.apply(8, Done("n1", 7).data())
+    assert ledger.done == {"n1": 7} and "n1" not in ledger.places
+    assert wish(9e9, {"n0": 1}) == "", "all of it is the adopter's own by now"
+    assert passed("n1", 5, ledger) and not passed("n1", 8, ledger)
+    assert void(("n1", 8), ledger) and not void(("n1", 7), ledger) and not void(None, ledger)
+
+
+def test_holders_stay_where_they_are_lie_elsewhere_where_they_can_and_are_spread():
+    there = [f"n{n}" for n in range(9)]
+    places = {name: ("a" if n < 3 else "b", "") for n, name in enumerate(there)}
+    for owner in there:
+        (one,) = placed(owner, there, 1, places)
+        assert one != owner and places[one] != places[owner]
+        two = placed(owner, there, 2, places, keep=(one,))
+        assert one in two and len(two) == 2
+        assert placed(owner, [name for name in there if name != one], 1, places, keep=(one,))[0] != one
+    assert len({placed(owner, there, 1, places) for owner in there}) >= 4
+    assert placed("n0", ["n0"], 1, {}) == ()
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -31,7 +31,7 @@
 from winchspan.net.fleet_stream import FleetStreams
 from winchspan.owners.clocks import Clocks
 from winchspan.owners.leases import Ask, GaveUp, GiveUp, Grants, Leases, Renewal, Timing
-from winchspan.owners.ledger import Assign, Ledger
+from winchspan.owners.ledger import Assign, Ledger, about, work_of
 
 if TYPE_CHECKING:
     from winchspan.daemon import Daemon
@@ -55,6 +55,9 @@
     empty: bool
     life: int = 0
     clock: float = 0.0        # what its clock reads, ms
+    zone: str = ""
+    region: str = ""
+    work: int = 0             # the epoch under which its folder's journal is its own; 0: it has none
 
 
 class _Said(msgspec.Struct):
@@ -72,7 +75,8 @@
     """This courier's seat among those who agree."""
 
     def __init__(self, daemon: Daemon, members: Mapping[str, Address], duties: tuple[str, ...], secret: bytes,
-                 life: int, there: Callable[[], dict[str, int]]) -> None:
+                 life: int, there: Callable[[], dict[str, int]], drift: float = 0.01,
+                 place: tuple[str, str] = ("", "")) -> None:
         """Take the seat; raises StoreError and OSError.
 
         Args:
@@ -82,21 +86,27 @@
             secret: of the fleet's frames.
             life: this process's number, as its members know it.
             there: who is there, by name with their processes' numbers, this one among them.
+            drift: the most that a clock gains or loses, as a part of time.
+            place: this courier's zone and region.
         """
         self._daemon, self._duties, self._there, self._life = daemon, duties, there, life
-        self._name, self._timing = daemon.config.name, Timing()
+        self._name, self._timing = daemon.config.name, Timing(drift=drift)
         self._store = Store(daemon.config.state, self._name, daemon.system.nonce(), daemon.system.disk)
         self.raft = Raft(self._store.me, self._store.kept, daemon.config.seed ^ life, self._now())
         self.ledger, self.leases = Ledger(), Leases(self._name, life, self._timing)
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
+        self.works = {self._name: (life, daemon.journal.work)}     # by member, its process and its `work`
+        self.places = {self._name: place}     # zone and region by member, as each has said
         self._clocks, self._off = Clocks(), dict[str, float]()     # whose clock is off, and by how much
         self._renewed_to = 0.0    # when the last lease is over that this process has renewed, in any term
         self._plans: Deadline | None = None
         self._timer_at, self._closed, self._beats = float("inf"), False, 0
         self._readers: dict[str, Callable[[str, bytes], None]] = {}     # of frames that are not the council's
         self._lost: list[Callable[[str], None]] = []
+        self._agreed: list[Callable[[], None]] = []
+        self.wish: Callable[[str, Mapping[str, int], Ledger], str] | None = None
         self._met: list[Callable[[str], None]] = []
         self._timer: Deadline | None = None
         self._streams = FleetStreams(self._name, members, secret, self._got, self._connected,
@@ -143,6 +153,35 @@
         """Call with a member to which there is a connection again."""
         self._met.append(call)
 
+    def on_agreed(self, call: Callable[[], None]) -> None:
+        """Call whenever something has been agreed."""
+        self._agreed.append(call)
+
+    def agree(self, data: bytes) -> None:
+        """Ask that something about a courier's work be agreed; nothing comes of it while nobody leads."""
+        if self.raft.leader == self._store.me:
+            self._carry_out(self.raft.propose(self._now(), data)[1])
+        elif self.raft.leader:
+            self._streams.say(name_of(self.raft.leader), "agree", _ENCODER.encode(data))
+
+    def _asked_to_agree(self, name: str, data: bytes) -> None:
+        """A member asks: about its own work, or about that which it has taken over."""
+        owner = about(data)
+        grant = self.ledger.grants.get(work_of(owner))
+        if owner and (owner == name or (grant is not None and grant.owner == name)):
+            self._carry_out(self.raft.propose(self._now(), data)[1])
+
+    @property
+    def leads(self) -> bool:
+        """Whether this courier leads the agreement."""
+        return self._grants is not None
+
+    def assign(self, duties: tuple[str, ...]) -> None:
+        """These are the duties that are to have an owner, from now on."""
+        self._duties = duties
+        if self._grants is not None:
+            self._grants.duties = duties
+
     def left(self, duty: str) -> float:
         """For how many ms this courier may still do a duty."""
         return self.leases.left(duty, self._now())
@@ -194,11 +233,16 @@
                 here = _HERE.decode(body)
                 if name_of(here.member) == name:
                     self._founding.here(here.member, here.empty)
+                    self.works[name] = here.life, here.work
+                    self.places[name] = here.zone[:64], here.region[:64]
                     self._clocks.saw(self._now(), name, here.life, here.clock)
                 return
             if (other := self._readers.get(kind)) is not None:
                 other(name, body)
                 return
+            if kind == "agree":
+                self._asked_to_agree(name, msgspec.msgpack.decode(body, type=bytes))
+                return
             reader = _READERS.get(kind)
             said = _SAID.decode(body)
             if reader is None or name_of(said.source) != name or said.to != self._store.me:
@@ -256,7 +300,8 @@
 
     def _here(self, name: str) -> None:
         empty = not self.raft.last[0] and not self.raft.term
-        here = _Here(self._store.me, empty, self._life, self._now())
+        here = _Here(self._store.me, empty, self._life, self._now(), *self.places[self._name],
+                     self.works[self._name][1])
         self._streams.say(name, "here", _ENCODER.encode(here))
 
     # ---- what is due -------------------------------------------------------------------------------------
@@ -344,6 +389,8 @@
                         self._say(to, message)
                 case Commit(entry):
                     duty = self.ledger.apply(entry.index, entry.data)
+                    for call in self._agreed:
+                        call()
                     if duty:
                         grant = self.ledger.grants[duty]
                         self.leases.moved(duty, grant)
@@ -352,10 +399,12 @@
                         logger.info("fleet: {} is {}'s, epoch {}", duty, grant.owner, grant.epoch)
                 case Restore(snapshot):
                     self.ledger.restore(snapshot.data)
+                    for call in self._agreed:
+                        call()
                 case Leads(leader, term, why):
                     mine = leader == self._store.me
                     self._grants = Grants(self._now(), self._duties, self._timing,
-                                          self._renewed_to) if mine else None
+                                          self._renewed_to, self.wish) if mine else None
                     logger.info("fleet: {} leads in term {}: {}", leader or "nobody", term, why)
         if self.raft.commit - self.raft.snapshot.index > FOLD and not self._store.behind:
             self._carry_out(self.raft.compact(self.raft.commit, self.ledger.data()))
