--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -199,6 +199,11 @@
         self._streams.close()
         self._store.close()
 
+    def drop(self) -> None:
+        """Let go of the store's file."""
+        self._closed = True
+        self._store.close()
+
     # ---- figures -----------------------------------------------------------------------------------------
     def status(self) -> dict[str, Any]:
         """The agreement and the duties, for people."""
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -176,6 +176,8 @@
         """Let go of the journal's file as the system does when a process dies; for emulated machines."""
         if not self._done.is_set():
             self.journal.drop()
+            for part in self._parts:
+                part.drop()
 
     async def run(self) -> None:
         """Serve until told to stop; raises OSError."""
--- a/winchspan/fleet.py
+++ b/winchspan/fleet.py
@@ -180,6 +180,13 @@
             self._council.close()
         self._socket.close()
 
+    def drop(self) -> None:
+        """Let go of files."""
+        for work in self._work:
+            work.close()
+        if self._council is not None:
+            self._council.drop()
+
     def _there(self) -> dict[str, int]:
         """Who is there, and no name under which two processes speak."""
         found = {name: r.life for name, r in self._swim.records.items()
--- a/winchspan/part.py
+++ b/winchspan/part.py
@@ -57,6 +57,9 @@
     def close(self) -> None:
         """The life ends."""
 
+    def drop(self) -> None:
+        """Let go of files as the system does when a process dies; for emulated machines."""
+
 
 class Wishes(NamedTuple):
     """What a part is chosen and made by."""
