Give work back to a courier without its folder only once another has it, if any holds it

Change: work of which nobody ever held a copy is its courier's at once; work that is being taken over stays with its adopter while its courier's folder is lost.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -197,6 +197,26 @@
     assert void(("n1", 8), ledger) and not void(("n1", 7), ledger) and not void(None, ledger)
 
 
+def test_a_courier_without_its_folder_waits_for_who_goes_on_with_its_work_if_anybody_holds_it():
+    ledger, takeovers = Ledger(), Takeovers()
+    ledger.apply(5, Assign("work-n1", "n1", 11, 0).data())
+    there = {"n0": 1, "n1": 12}
+
+    def wish(work: int, life: int = 12) -> str:
+        return takeovers.wish(0.0, "work-n1", there, ledger, {"n1": (life, work)})
+    assert wish(0) == "n1", "nobody ever held a copy (seed 101: it never had its work again)"
+    ledger.apply(6, SetPlace("n1", ("n0",), (), 0).data())
+    assert wish(0) == "" and takeovers.to_ask(0.0) == ["n1"], "at once, without grace"
+    assert wish(5) == "n1" and wish(0, 11) == "n1", "it has its folder, or did not write its epoch down yet"
+    assert wish(0) == ""
+    takeovers.answered("n1", "n0", Standing(5, 3, "n0"))
+    assert wish(0) == "n0"
+    ledger.apply(7, Assign("work-n1", "n0", 1, 5).data())
+    assert wish(0) == "n0", "n1 does not get it back before it is taken over (seed 101: 3 messages lost)"
+    ledger.apply(8, Done("n1", 7).data())
+    assert wish(0) == "n1"
+
+
 def test_holders_stay_where_they_are_lie_elsewhere_where_they_can_and_are_spread():
     there = [f"n{n}" for n in range(9)]
     places = {name: ("a" if n < 3 else "b", "") for n, name in enumerate(there)}
--- a/winchspan/copies/placing.py
+++ b/winchspan/copies/placing.py
@@ -65,9 +65,7 @@
         """
         owner = duty.removeprefix(WORK)
         grant = ledger.grants.get(duty)
-        life, knows = works.get(owner, (0, 0))
-        lost = (grant is not None and grant.owner == owner and life not in (0, grant.life) and not knows
-                and ledger.done.get(owner, 0) < grant.epoch)
+        lost = grant is not None and self._lost(owner, grant, ledger, *works.get(owner, (0, 0)))
         if owner in there and not lost:
             self._forget(owner)
             return owner
@@ -84,6 +82,17 @@
         self._asked.setdefault(owner, now)
         return self._adopter(owner, there, ledger.places.get(owner))
 
+    @staticmethod
+    def _lost(owner: str, grant: Grant, ledger: Ledger, life: int, knows: int) -> bool:
+        """Whether a courier that is there has lost its folder, and with it work that others hold.
+
+        It goes on only once that is another's, also if it comes back while the other takes it over. Work that
+        nobody ever held a copy of is lost for good, or there never was any.
+        """
+        place = ledger.places.get(owner)
+        fresh = life != 0 and not knows and (grant.owner != owner or life != grant.life)
+        return fresh and place is not None and bool(place.names) and ledger.done.get(owner, 0) < grant.epoch
+
     @staticmethod
     def _is_empty(owner: str, grant: Grant, ledger: Ledger) -> bool:
         """Whether all of a work has been taken over under the epoch in force."""
