Tell no client of a message that may run once that it was refused once a holder may have it

Change: such a message is left without an answer; its client's own time ends the wait, and it is withdrawn. The stand-in of a pool in the tests takes what the pool does.

--- a/tests/test_hooks.py
+++ b/tests/test_hooks.py
@@ -186,7 +186,7 @@
 
     def call(self, peer: Peer, pieces: list[bytes], until: float, done: Callable[[CallEnd], None],
              on_body: Callable[[bytes], None] | None = None, begin_by: float | None = None,
-             out: Callable[[], None] | None = None) -> Links:
+             out: Callable[[], None] | None = None, may: Callable[[], bool] | None = None) -> Links:
         self.calls.append((pieces, done, on_body))
         return self
 
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -335,6 +335,12 @@
             self.figures.ended("errored", query.cls)
             self._over(query)
 
+    def runs_once(self, handle: int) -> bool:
+        """Whether a message that is held may run once only."""
+        query = self._queries.get(handle)
+        cls = self._known.get(query.cls) if query is not None else None
+        return cls is not None and cls.effect is api.Effect.ONCE
+
     def listed(self, news: api.EndpointList) -> None:
         """The list of endpoints has changed."""
         self._event(news)
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -49,6 +49,9 @@
     def withdraw(self, handle: int) -> None:
         """The client has gone without its answer."""
 
+    def runs_once(self, handle: int) -> bool:
+        """Whether a message that is held may run once only."""
+
 
 def submit(words: list[bytes], intake: Intake, age: float = 0.0) -> int:
     """Read `SUBMIT KEY ID NAMES BODY`, written `age` ms ago at most, and hand the message in."""
@@ -259,8 +262,12 @@
             self._links.later(SECURED_WITHIN, lambda: self._not_secured(handle))
 
     def _not_secured(self, handle: int) -> None:
-        """Nobody else holds what was taken: its client is not left to wait in vain."""
-        if self._unsecured and handle == self._waits:
+        """Nobody else is known to hold what was taken: its client is not left to wait in vain.
+
+        But for a message that may run once only: a holder may have it and go on with it, so that handing it
+        in again would not be harmless. Its client hears nothing, and knows what that means.
+        """
+        if self._unsecured and handle == self._waits and not self._links.intake.runs_once(handle):
             self._links.intake.withdraw(handle)
             self._secured(handle, resp.error("BUSY"))
 
