Bound what other couriers' words can fill, and take promises from whom the agreement names

Cause: read over the whole change: a peer's words could add epochs of duties and copies of owners without end, and any member could have a copy removed by saying that its work was taken over. Change: unknown duties are not taken; a promise is given only to the adopter that this courier's own ledger names; a copy goes when the ledger says that its work was taken over; partners of probes are bounded.

--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -115,7 +115,7 @@
     for n in range(2 * MOST_WAITS):
         assert waits.told(0.0, n, 1_000.0 + n)
     asked = [quorum.ask(("n0", "n1", "n2"), 100.0) for _ in range(MOST_OPEN + 5)]
-    assert len(p.known) == MOST_KNOWN and len(waits.rows(0.0)) == MOST_WAITS
+    assert len(p.known) == len(p._sent) == MOST_KNOWN and len(waits.rows(0.0)) == MOST_WAITS
     assert asked[-5:] == [0] * 5 and len(quorum.over(100.0)) == MOST_OPEN and quorum.over(100.0) == []
 
 
--- a/winchspan/copying.py
+++ b/winchspan/copying.py
@@ -49,11 +49,10 @@
 
 
 class _Promise(msgspec.Struct, array_like=True):
-    """Whoever goes on with a courier's work asks that nothing older be taken for it, or says that it has."""
+    """Whoever goes on with a courier's work asks that nothing older be taken for it."""
 
     owner: str
     epoch: int
-    over: bool = False
 
 
 class _Promised(msgspec.Struct, array_like=True):
@@ -231,6 +230,9 @@
                 self._tell(name, _Ask(owner))
             self._heard(self._me, _Ask(owner))
         self._adopt_on(now)
+        for owner, copy in list(self._shelf.copies.items()):
+            if 0 < copy.epoch < self._council.ledger.done.get(owner, 0):
+                self._forget(owner, self._council.ledger.done[owner])
 
     def _begin(self, now: float, epoch: int) -> None:
         """The work is this courier's, under a new epoch: what it held before is its own, or has gone."""
@@ -310,10 +312,11 @@
                     self._tell(name, found)
             case _Standing(owner, epoch, upto):
                 self._takeovers.answered(owner, name, Standing(epoch, upto, name) if epoch else None)
-            case _Promise(owner, epoch, over):
-                if over:
-                    self._forget(owner, epoch)
-                elif self._promise(owner, epoch):
+            case _Promise(owner, epoch):
+                # Only to whom the agreement names; one that has not heard that yet is asked again.
+                grant = self._council.ledger.grants.get(work_of(owner))
+                if (grant is not None and (grant.owner, grant.epoch) == (name, epoch)
+                        and self._promise(owner, epoch)):
                     self._tell(name, _Promised(owner, epoch))
             case _Promised(owner, epoch):
                 if (adoption := self._adopting.get(owner)) is not None and adoption.epoch == epoch:
@@ -427,9 +430,6 @@
         self.counts["messages_taken_over"] += len(adoption.entries)
         self.counts["may_have_run"] += may
         self._daemon.courier.adopt(adoption.entries)
-        self._forget(owner, adoption.epoch)
-        for name in self._council.others():
-            self._tell(name, _Promise(owner, adoption.epoch, True))
 
 
 class Adoption:
--- a/winchspan/duties/probes.py
+++ b/winchspan/duties/probes.py
@@ -101,6 +101,8 @@
             if turn > known.turn:
                 known.before = known.begun
             known.begun, known.turn, known.epoch = at, turn, epoch
+        while dest not in self._sent and len(self._sent) >= MOST_KNOWN:
+            del self._sent[next(iter(self._sent))]
         self._sent[dest] = max(at, self._sent.get(dest, at))
         self._first.pop(name, None)
 
@@ -147,7 +149,7 @@
         count: dict[int, int] = {}
         for target in rows:
             count[target.dest] = count.get(target.dest, 0) + 1
-        self._forget(now, {target.name for target in rows})
+        self._forget({target.name for target in rows})
         found: list[tuple[float, Target]] = []
         for target in rows:
             at = self._due_at(now, target, count[target.dest])
@@ -171,11 +173,9 @@
         after = sent + self.apart(target) if sent is not None else 0.0
         return max(at, after)
 
-    def _forget(self, now: float, names: set[str]) -> None:
+    def _forget(self, names: set[str]) -> None:
         """What is no longer listed."""
         self._first = {name: at for name, at in self._first.items() if name in names}
-        if len(self._sent) > MOST_KNOWN:
-            self._sent = {dest: at for dest, at in self._sent.items() if at > now - UNLISTED}
 
     def failing(self) -> int:
         """Endpoints whose last probe came out badly."""
--- a/winchspan/probing.py
+++ b/winchspan/probing.py
@@ -15,7 +15,7 @@
 
 from winchspan import interface as api
 from winchspan.agreement.founding import name_of
-from winchspan.duties.probes import Known, Probes, Target, shard
+from winchspan.duties.probes import Known, Probes, Target, duties, shard
 from winchspan.duties.quorum import Quorum
 from winchspan.duties.waits import Waits
 from winchspan.net import http
@@ -116,7 +116,7 @@
         self._out: set[str] = set()
         self._calls: dict[str, tuple[str, Call]] = {}               # by endpoint: duty, and what is out
         self.counts: Counter[str] = Counter(dict.fromkeys(("sent", "unheard", "withdrawn"), 0))
-        self._closed = False
+        self._closed, self._duties = False, frozenset(duties())
         for kind, reader in ((_Begin, self._begin), (_Heard, self._heard), (_Ended, self._end),
                              (_Ask, self._ask), (_Rows, self._rows), (_Wait, self._wait)):
             self._reads(kind, reader)
@@ -206,6 +206,8 @@
 
     def _ask(self, name: str, what: _Ask) -> None:
         """Another asks; from now on no older epoch of that duty is taken here."""
+        if what.duty not in self._duties:
+            return
         taken, now = self._fence.admit(what.duty, what.epoch), self._now()
         rows = [(endpoint, dest, k.turn, k.epoch, now - k.begun, k.ok, k.failures)
                 for endpoint, k, dest in self._of(what.duty)] if taken else []
@@ -247,6 +249,8 @@
 
     def _begin(self, name: str, what: _Begin) -> None:
         """Another is about to probe."""
+        if what.duty != shard(what.dest):              # nothing of ours: the table of epochs has a bound
+            return
         taken = self._fence.admit(what.duty, what.epoch)
         if taken:                                      # it may go as late as that
             self._probes.begun(self._now() + HEARD_WITHIN, what.name, what.dest, what.turn,
