Refuse a folder that was restored from a backup: others tell it what it had promised

Each start of a folder is counted on disk; members say how far their folder goes (start, term, committed) and keep the most that others have said, which they tell back. Who comes back with less is counted out at once, and ends with one line and exit code 2; an empty folder is admitted anew as before.

Three real processes: the restored one ends with 2, the other two go on, and the emptied one gets its duties back.

--- a/tests/test_agreement_store.py
+++ b/tests/test_agreement_store.py
@@ -4,11 +4,13 @@
 
 import contextlib
 import os
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from tests.test_journal import Dying, Filling, Killed
+from winchspan.agreement.ages import Age, Ages
 from winchspan.agreement.messages import Entry, Kept, Kind, Snapshot, Write
 from winchspan.agreement.store import Store, StoreError, applied
 
@@ -104,3 +106,40 @@
         Store(tmp_path, "n0", 6)
     (tmp_path / "empty").mkdir()
     assert Store(tmp_path / "empty", "n1", 6).me != Store(tmp_path, "n1", 7).me
+
+
+def test_each_life_counts_on_and_what_a_folder_lacks_of_what_it_had_is_named(tmp_path: Path):
+    lives = []
+    for _ in range(3):
+        store = Store(tmp_path, "n0", 5)
+        lives.append(store.starts)
+        for write in writes(90):
+            assert store.write(write)
+        store.close()
+    assert lives == [1, 2, 3]
+    said = Age(start=3, life=8, term=6, commit=40, last=44)
+    ages = Ages()
+    assert ages.said("n0", "n0#5", said) == "" and not ages.old("n0")
+    for less, missing in ((replace(said, start=2), "start 2 of 3"), (replace(said, life=9), "start 3 of 3"),
+                          (replace(said, start=4, life=9, term=5), "term 5 of 6"),
+                          (replace(said, start=4, life=9, last=39, commit=30), "entry 39 of 40")):
+        assert ages.said("n0", "n0#5", less) == missing and ages.old("n0")
+    assert ages.said("n0", "n0#5", replace(said, start=4, life=9, commit=0, last=40)) == "", "a restart"
+    assert ages.known("n0") == ("n0#5", Age(4, 9, 6, 40, 40)) and not ages.old("n0")
+    assert ages.said("n0", "n0#6", Age(1, 10, 0, 0, 0)) == "", "an empty folder is another member"
+    assert ages.said("n0", "n0#6", Age(0, 11, 0, 0, 0)) == "", "a version that does not say"
+
+
+def test_a_disk_that_does_not_take_that_a_life_has_begun_holds_back_all_that_it_would_say(tmp_path: Path):
+    disk = Filling()
+    store = Store(tmp_path, "n0", 5, disk)
+    store.close()
+    disk.full = True
+    again = Store(tmp_path, "n0", 5, disk)
+    assert again.behind and again.starts == 2 and not again.catch_up()
+    disk.full = False
+    assert again.catch_up() and not again.behind
+    again.close()
+    store = Store(tmp_path, "n0", 5)
+    assert store.starts == 3
+    store.close()
--- a/tests/test_fleet_owners.py
+++ b/tests/test_fleet_owners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import signal
 from collections.abc import Iterator
 from pathlib import Path
@@ -130,3 +131,37 @@
     process = fleet["n1"].process
     assert process is not None and process.wait(60.0) == 2
     assert "is the folder of 'n2', not of 'n1'" in fleet["n1"].log().splitlines()[-1]
+
+
+def backup(fleet: Fleet, name: str, to: Path) -> None:
+    """Keep a courier's folder as it is now."""
+    shutil.copytree(fleet[name].folder / "state", to)
+
+
+def restore(fleet: Fleet, name: str, from_: Path) -> None:
+    """Put back what was kept."""
+    shutil.rmtree(fleet[name].folder / "state")
+    shutil.copytree(from_, fleet[name].folder / "state")
+
+
+def test_a_folder_restored_from_a_backup_is_refused_and_an_empty_one_is_admitted(fleet: Fleet, tmp_path: Path):
+    fleet.start()
+    at_work(fleet)
+    before = fleet["n0"].figures()["fleet.agreement.committed"]
+    backup(fleet, "n1", tmp_path / "kept")
+    fleet["n2"].kill()                                 # its duties change hands: n1 promises something
+    at_work(fleet, ("n0", "n1"))
+    fleet["n2"].start()
+    fleet.wait("it is back", *((name, (3, 0, 0, 0)) for name in NAMES))
+    wait_for("n1 knows", lambda: fleet["n1"].figures()["fleet.agreement.committed"] > before)
+    fleet["n1"].kill()
+    restore(fleet, "n1", tmp_path / "kept")
+    fleet["n1"].start()
+    process = fleet["n1"].process
+    assert process is not None and process.wait(60.0) == 2
+    assert "agreement.log" in fleet["n1"].log().splitlines()[-1]
+    assert "is older than what n" in fleet["n1"].log().splitlines()[-1]
+    at_work(fleet, ("n0", "n2"))
+    fleet.act("lose", "n1")
+    fleet["n1"].start()
+    wait_for("its duties come back to it", lambda: "n1" in {name for name, _ in at_work(fleet).values()})
--- a/winchspan/agreement/store.py
+++ b/winchspan/agreement/store.py
@@ -74,6 +74,7 @@
         self._disk, self._limit, self._name = disk or Disk(), limit, name
         self._paths = folder / "agreement.log", folder / "agreement.log.2"
         self.kept, self.birth = Kept(), 0
+        self.starts = 0           # how often a process has begun with this folder, this one among them
         self._owed: list[Write] = []
         self._gen, self._path, other = current(*self._paths)
         self._disk.remove(other)
@@ -85,16 +86,23 @@
                 os.close(self._fd)
                 raise OSError(28, f"{self._path}: no room to begin an agreement's files")
         self._live = self._size
+        self.starts += 1
+        self._begun = self._append(self._start())     # a full disk takes it later, and nothing is said before
 
     @property
     def me(self) -> str:
         """The member as the agreement knows it: its name with the number of its folder."""
         return f"{self._name}#{self.birth:x}"
 
+    @property
+    def path(self) -> Path:
+        """The file in force."""
+        return self._path
+
     @property
     def behind(self) -> bool:
         """Whether something is owed that the disk has not taken."""
-        return bool(self._owed)
+        return bool(self._owed) or not self._begun
 
     def write(self, w: Write) -> bool:
         """Keep what a machine has promised; False: it is owed, and nothing may be said before `catch_up`."""
@@ -103,6 +111,9 @@
 
     def catch_up(self) -> bool:
         """Write what is owed; True if nothing is left of it."""
+        if not self._begun and not self._append(self._start()):
+            return False
+        self._begun = True
         while self._owed:
             after = applied(self.kept, self._owed[0])
             if not self._append(record(_fields(self._owed[0]))):
@@ -121,6 +132,9 @@
     def _born(self) -> bytes:
         return record({"t": "birth", "name": self._name, "id": self.birth})
 
+    def _start(self) -> bytes:
+        return record({"t": "start", "n": self.starts})
+
     def _recover(self) -> int:
         """Read the file up to its end or the first broken record, cut the rest, and return its size."""
         data, at = self._path.read_bytes(), 0
@@ -132,6 +146,8 @@
                     raise StoreError(f"{self._path}: is the folder of {fields['name']!r}, "
                                      f"not of {self._name!r}")
                 self.birth = int(fields["id"])
+            elif fields["t"] == "start":
+                self.starts = int(fields["n"])
             elif fields["t"] == "kept":
                 snapshot = None
                 if (row := fields.get("snapshot")) is not None:
@@ -171,7 +187,7 @@
         """Write what counts into the other file, and remove this one once that is whole."""
         k, gen = self.kept, self._gen + 1
         all_ = Write(k.term, k.vote, 0, k.entries, k.snapshot if k.snapshot.index else None)
-        data = b"".join([head(gen), self._born(), record(_fields(all_)), whole(gen)])
+        data = b"".join([head(gen), self._born(), self._start(), record(_fields(all_)), whole(gen)])
         new = self._paths[self._path == self._paths[0]]
         try:
             fd = self._disk.open(new, os.O_RDWR | os.O_CREAT | os.O_TRUNC)
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -9,6 +9,7 @@
 import msgspec
 from loguru import logger
 
+from winchspan.agreement.ages import Age, Ages
 from winchspan.agreement.founding import Founding, name_of
 from winchspan.agreement.messages import (
     Action,
@@ -59,6 +60,11 @@
     region: str = ""
     unfit: bool = False       # its clock is off, as it sees it itself: it does no duty
     work: int = 0             # the epoch under which its folder's journal is its own; 0: it has none
+    start: int = 0            # how far its folder's promises go (`agreement.ages.Age`)
+    term: int = 0
+    commit: int = 0
+    last: int = 0
+    knows: tuple[str, Age] | None = None      # of the hearer's folder: the member, and the most it has said
 
 
 class _Said(msgspec.Struct):
@@ -98,6 +104,9 @@
         self.ledger.restore(self._store.kept.snapshot.data)
         self._grants: Grants | None = None
         self._founding = Founding(self._store.me, members)
+        self._ages = Ages()
+        if self._store.behind:    # its disk does not take even that it has begun: it says nothing before
+            self.raft.mute(self._now(), True)
         self.works = {self._name: (life, daemon.journal.work)}     # by member, its process and its `work`
         self.places = {self._name: place}     # zone and region by member, as each has said
         self._clocks, self._off = Clocks(), dict[str, float]()     # whose clock is off, and by how much
@@ -123,6 +132,8 @@
         own = self._streams.members[self._name]
         self._streams.open(self._daemon.loop, self._daemon.system.listen(own.host, own.port))
         logger.info("fleet: this courier's folder is {}", self._store.me)
+        if self._store.behind:
+            self._daemon.deadlines.after(CATCH_UP, self._catch_up)
         self._beat()
         self._arm()
 
@@ -235,10 +246,12 @@
 
     # ---- what comes --------------------------------------------------------------------------------------
     def _got(self, name: str, kind: str, body: bytes) -> None:
+        if self._closed:
+            return
         try:
             if kind == "here":
                 here = _HERE.decode(body)
-                if name_of(here.member) == name:
+                if name_of(here.member) == name and self._whole_folder(name, here):
                     self._founding.here(here.member, here.empty)
                     (self._unfit.add if here.unfit else self._unfit.discard)(name)
                     self.works[name] = here.life, here.work
@@ -253,6 +266,9 @@
                 return
             reader = _READERS.get(kind)
             said = _SAID.decode(body)
+            if self._ages.old(name):
+                self._streams.dropped["an older folder"] += 1
+                return
             if reader is None or name_of(said.source) != name or said.to != self._store.me:
                 self._streams.dropped["meant for another" if reader is not None else "unknown kind"] += 1
                 return
@@ -306,10 +322,33 @@
         for call in self._met:
             call(name)
 
+    def _age(self) -> Age:
+        """How far this courier's folder goes."""
+        return Age(self._store.starts, self._life, self.raft.term, self.raft.commit, self.raft.last[0])
+
+    def _whole_folder(self, name: str, here: _Here) -> bool:
+        """Whether a member's folder has all that it had before; it is told if not, and so is this one."""
+        if here.knows is not None and here.knows[0] == self._store.me and (
+                missing := self._age().misses(here.knows[1])):
+            self._daemon.refuse(f"{self._store.path}: is older than what {name} knows of it ({missing}): what "
+                                "it promised since is forgotten; let the courier begin with an empty folder, "
+                                "or with the latest one")
+            self._closed = True                        # what it would say from now on it may not
+            return False
+        missing = self._ages.said(name, here.member, Age(here.start, here.life, here.term, here.commit,
+                                                         here.last))
+        if missing:
+            logger.error("fleet: the folder of {} is older than what it had before: {}", here.member, missing)
+            self._here(name)
+        return not missing
+
     def _here(self, name: str) -> None:
+        if self._store.behind or self._closed:
+            return
         empty = not self.raft.last[0] and not self.raft.term
         here = _Here(self._store.me, empty, self._life, self._now(), *self.places[self._name],
-                     self._name in self._off, self.works[self._name][1])
+                     self._name in self._off, self.works[self._name][1], self._store.starts, self.raft.term,
+                     self.raft.commit, self.raft.last[0], self._ages.known(name))
         self._streams.say(name, "here", _ENCODER.encode(here))
 
     # ---- what is due -------------------------------------------------------------------------------------
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -114,6 +114,7 @@
         self._clients = ClientLinks(self.courier, self.clock, self.deadlines, budget, self._most(settings),
                                     links.retire_oldest, words, lookout, self.copies)
         self._done = asyncio.Event()
+        self._refused = ""        # why this life must not go on
         self._serving = False
 
     def _most(self, settings: api.Settings) -> int:
@@ -213,6 +214,15 @@
             part.close()
         self.journal.close()
         logger.info("{} ends", self.config.name)
+        if self._refused:
+            raise ConfigError(self._refused)
+
+    def refuse(self, why: str) -> None:
+        """What this life was begun with cannot be used, as is found only now: it ends at once with that line."""
+        logger.error("{}", why)
+        self._refused = self._refused or why
+        self.courier.suspend(True)
+        self._done.set()
 
     def reload(self) -> None:
         """SIGHUP: read the configuration again; one that cannot be used changes nothing."""
