--- /dev/null
+++ b/tests/test_half_written.py
@@ -0,0 +1,73 @@
+"""Bytes that are still queued to a socket when a lease ends: they are withdrawn before the loop writes on."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+import time
+
+import pytest
+
+from winchspan.config import Address
+from winchspan.deadlines import Deadlines
+from winchspan.net.server_link import CallEnd, Fate, Peer, ServerLinks, SocketBudget
+from winchspan.standins.sockets import HOST
+from winchspan.system import System
+
+SIZE = 32 << 20           # bytes: far more than both ends' buffers take
+
+
+class Reader(threading.Thread):
+    """A partner that reads nothing until it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self._listener = socket.create_server((HOST, 0))
+        self.port: int = self._listener.getsockname()[1]
+        self.reads, self.got = threading.Event(), 0
+        self.start()
+
+    def run(self) -> None:
+        link, _ = self._listener.accept()
+        self.reads.wait()
+        try:
+            while data := link.recv(1 << 20):
+                self.got += len(data)
+                if self.got == SIZE:
+                    link.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        except ConnectionError:
+            pass
+        link.close()
+        self._listener.close()
+
+
+@pytest.mark.parametrize("looks", [True, False])
+def test_what_is_half_written_when_a_lease_ends_goes_no_further(looks: bool):
+    """A process is stopped in the middle of a call, its lease ends, and the partner reads: then it wakes."""
+    partner, system, mine = Reader(), System(), [True]
+    ends: list[CallEnd] = []
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        links = ServerLinks(loop, system.clock, Deadlines(system.clock, loop, system.lookout),
+                            SocketBudget(50), 1_000.0, 10_000.0)
+        if looks:
+            system.lookout.first = lambda: None if mine[0] else links.recall_unwritten()
+        links.call(Peer(Address(HOST, partner.port), 1), [b"x" * SIZE], system.clock.now() + 60_000.0,
+                   ends.append, may=lambda: mine[0])
+        while not links.unwritten:
+            await asyncio.sleep(0.005)
+        mine[0] = False
+        partner.reads.set()
+        time.sleep(0.2)          # as if stopped, while the socket takes bytes again
+        while not ends:
+            await asyncio.sleep(0.005)
+        assert not links.unwritten
+    with asyncio.Runner(loop_factory=system.loop) as runner:
+        runner.run(run())
+    partner.join(30.0)
+    if looks:
+        assert ends[0].fate is Fate.RECALLED and partner.got < SIZE
+    else:
+        assert ends[0].answer is not None and partner.got == SIZE, "else it would have gone out whole"
--- a/winchspan/copying.py
+++ b/winchspan/copying.py
@@ -138,6 +138,7 @@
         self._council.on_met(self._met)
         self._daemon.courier.suspend(True)
         self._daemon.hooks.may = self._daemon.notices.may = self._mine
+        self._daemon.system.lookout.first = self._before_reading
         self._council.wish = self._wish
         self._council.on_lost(self._lost)
         self._council.on_agreed(self._look_soon)
@@ -147,6 +148,7 @@
         """Copy no more."""
         self._closed = True
         self._daemon.journal.on_written = self._daemon.journal.on_end = None
+        self._daemon.system.lookout.first = None
         self._library.close()
 
     def figures(self) -> dict[str, int]:
@@ -210,6 +212,15 @@
         """Whether this courier may act on its own work at this moment."""
         return self._stream is not None and self._council.may(self._duty) == self._stream.epoch
 
+    def _before_reading(self) -> None:
+        """Right after the loop has waited: nothing half written goes on under a lease that is over.
+
+        Guards against a process that was stopped in the middle of a call: on waking, its loop would write the
+        rest before any of its timers is looked at.
+        """
+        if self._daemon.links.unwritten and not self._mine():
+            self._daemon.links.recall_unwritten()
+
     def _covered(self) -> bool:
         """Whether there are as many holders as there are to be, or that does not matter."""
         place = self._council.ledger.places.get(self._me)
--- a/winchspan/emulator/machine.py
+++ b/winchspan/emulator/machine.py
@@ -244,6 +244,8 @@
     def _wake(self, since: float) -> None:
         """It goes on: what is read until it has caught up may have come at any time of the hang."""
         self.held, self.lookout.since = False, since
+        if self.lookout.first is not None:
+            self.lookout.first()
         came, self._came = self._came, []
         for action in came:
             self._loop.call_soon(action)
--- a/winchspan/lookout.py
+++ b/winchspan/lookout.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 BLOCKED = 0.2             # ms: a look that took longer had to wait; what it found has only just come
 STANDS = 0.0001           # ms: no look takes less; a clock by which one does is not moving
 OVERRUN = 5.0             # ms past its time-out after which a look was itself held up; timers are whole ms
@@ -15,7 +17,7 @@
 class Lookout:
     """Watches the loop's looks at its sockets. One that is told of none takes all for just come."""
 
-    __slots__ = ("since", "at", "looks", "_before")
+    __slots__ = ("since", "at", "looks", "first", "_before")
 
     def __init__(self, began: float = float("inf")) -> None:
         """Begin.
@@ -27,6 +29,7 @@
         self.at = began           # when the last look ended: what was due by then may be judged
         self.looks = 0            # how many there were that tell something
         self._before = began      # when the last of these ended
+        self.first: Callable[[], None] | None = None      # called after each look, before anything it found
 
     def looked(self, start: float, end: float, timeout: float | None) -> None:
         """A look at the sockets is over.
--- a/winchspan/net/server_link.py
+++ b/winchspan/net/server_link.py
@@ -219,10 +219,13 @@
         self._transport.writelines(self.call.pieces)
         if self._transport.get_write_buffer_size() == 0:
             self._wrote()
+        else:
+            self._pool.unwritten.add(self)
 
     def _wrote(self) -> None:
         """All that was to be written has reached the system."""
         self.written = True
+        self._pool.unwritten.discard(self)
         if self.call is not None and self.call.out is not None:
             self.call.out()
 
@@ -234,6 +237,7 @@
         if self.retire is not None:
             self.retire.cancel()
         call, self.call = self.call, None
+        self._pool.unwritten.discard(self)
         self._pool.gone(self)
         if call is None:
             return
@@ -359,6 +363,7 @@
         self.retune(connect_timeout, keepalive)
         self._links: SlotTable[ServerLink] = SlotTable()
         self._idle: dict[Peer, list[ServerLink]] = {}
+        self.unwritten: set[ServerLink] = set()       # whose call's bytes the system has not all taken
 
     def retune(self, connect_timeout: float, keepalive: float) -> None:
         """Other settings, in ms, for connections from now on."""
@@ -499,6 +504,12 @@
             if link.peer == peer and link.call is not None:
                 link.call.recall()
 
+    def recall_unwritten(self) -> None:
+        """Take back all calls of which only a part has reached the system."""
+        for link in list(self.unwritten):
+            if link.call is not None:
+                link.call.recall()
+
     def retire_oldest(self) -> bool:
         """Close the link that has been idle longest; False if none is idle."""
         oldest = [links[0] for links in self._idle.values() if links]
--- a/winchspan/system.py
+++ b/winchspan/system.py
@@ -70,6 +70,8 @@
         start = self._clock.now()
         found: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
         self._lookout.looked(start, self._clock.now(), None if timeout is None else timeout * 1_000.0)
+        if self._lookout.first is not None:
+            self._lookout.first()
         return found
 
 
