Send nothing at a start before discovery has told what it has to tell

A restarted courier sent what it recovered by its configuration's list at once, before its watch had opened; the agent's news count as told from the process's first moment, so that this is within the 250 ms only where a start takes less.

Now the courier stands still from its start until the watch has told a line, its answer has begun and nothing has come for 20 ms, or 100 ms have passed; it listens, takes and ages what it holds meanwhile.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -30,9 +30,15 @@
     answered: list[str]
     begun: list[str]
     ended: list[str]
+    begun_at: list[int]       # the port at which each call came
+    also: list[dict[str, Any]]    # entries of the list, beside the toy's own
     told_at: list[int]        # the port at which each notice came
     open: threading.Event
 
+    def targets(self) -> bytes:
+        found = json.loads(super().targets())
+        return json.dumps(found | {"hosts": [*found["hosts"], *self.also]}).encode()
+
     def do_POST(self) -> None:
         body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
         if self.path == "/v1/notices":
@@ -42,6 +48,7 @@
         ids = [item["id"] for item in json.loads(body)] if self.path == "/hook/batch" else \
             [self.headers["X-Request-Id"]]
         self.begun.extend(ids)
+        self.begun_at.append(self.server.server_address[1])
         self.open.wait(PATIENCE)
         self.answered.extend(ids)
         states = json.dumps([{"id": i, "state": "ok"} for i in ids]).encode()
@@ -59,7 +66,7 @@
 @pytest.fixture
 def partner() -> Iterator[ThreadingHTTPServer]:
     Partner.answered, Partner.begun, Partner.ended, Partner.open = [], [], [], threading.Event()
-    Partner.told_at = []
+    Partner.told_at, Partner.begun_at, Partner.also = [], [], []
     server = serve()
     yield server
     Partner.open.set()
@@ -87,10 +94,12 @@
 
 
 def start(tmp_path: Path, port: int, discovery: int, *words: str, socket_fd: int | None = None,
-          ready_by: bytes | None = None, root: Path = ROOT) -> subprocess.Popen[bytes]:
+          ready_by: bytes | None = None, root: Path = ROOT,
+          known: dict[str, Any] | None = None) -> subprocess.Popen[bytes]:
     data = json.loads((ROOT / "examples" / "config.json").read_text())
     data |= {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}"}
     data["state"] = str(tmp_path / "state")
+    data["known"] = known or data["known"]
     for cls in data["settings"]["request_classes"]:      # no pace of the machine may matter here
         cls |= {"goal_time_ns": 600 * 10**9, "hard_limit_ns": 1_200 * 10**9, "window_ns": 600 * 10**9}
     (tmp_path / "state").mkdir(exist_ok=True)
@@ -150,6 +159,72 @@
         courier.wait()
 
 
+def test_a_start_sends_nothing_to_what_drains_by_discovery_whatever_its_configuration_lists(
+        tmp_path: Path, partner: ThreadingHTTPServer):
+    """Recovered messages went out by the old list; after a slow start that is later than a drain allows."""
+    port, old = free_port(), serve()
+    entry = {"host": "s-old", "dial": f"127.0.0.1:{old.server_port}", "site": "toy", "class": "large-host",
+             "block": 7, "health": "up", "share": 50.0, "born_ms": 0}
+    try:
+        courier = start(tmp_path, port, partner.server_port)
+        try:
+            for i in range(6):
+                order = request("order-payment", "7", f"body {i}", f"{i + 1:016x}", 1_200_000)
+                assert ask(port, order) == b"+OK\r\n"
+            wait_for("calls are out", lambda: Partner.begun)
+        finally:
+            courier.kill()
+            courier.wait()
+        before = len(Partner.begun_at)
+        Partner.also = [entry | {"health": "draining"}]
+        Partner.open.set()
+        courier = start(tmp_path, port, partner.server_port,
+                        known={"seq": 0, "whole": True, "hosts": [entry]})
+        try:
+            wait_for("all delivered", lambda: len(set(Partner.answered)) == 6)
+        finally:
+            courier.kill()
+            courier.wait()
+        assert set(Partner.begun_at[before:]) == {partner.server_port}
+    finally:
+        old.shutdown()
+        old.server_close()
+
+
+@pytest.mark.parametrize("silent", [True, False])
+def test_a_start_does_not_wait_for_a_discovery_that_says_nothing(tmp_path: Path, silent: bool):
+    """Its agent takes the connection and says nothing, or its answer begins and no line follows."""
+    Partner.begun, Partner.begun_at, Partner.answered, Partner.also = [], [], [], []
+    Partner.open = threading.Event()
+    Partner.open.set()
+    server, agent = serve(), socket.create_server(("127.0.0.1", 0))
+    links: list[socket.socket] = []
+
+    def accept() -> None:
+        while True:
+            try:
+                link, _ = agent.accept()
+            except OSError:
+                return
+            links.append(link)
+            if not silent:
+                link.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    threading.Thread(target=accept, daemon=True).start()
+    entry = {"host": "s-toy", "dial": f"127.0.0.1:{server.server_port}", "site": "toy", "class": "large-host",
+             "block": 7, "health": "up", "share": 50.0, "born_ms": 0}
+    port = free_port()
+    courier = start(tmp_path, port, agent.getsockname()[1], known={"seq": 3, "whole": True, "hosts": [entry]})
+    try:
+        assert ask(port, request("order-payment", "7", "x", "1" * 16, 1_200_000)) == b"+OK\r\n"
+        wait_for("it is delivered by the list of the configuration", lambda: Partner.answered)
+    finally:
+        courier.kill()
+        courier.wait()
+        agent.close()
+        server.shutdown()
+        server.server_close()
+
+
 def test_the_first_client_has_all_its_time_however_long_the_courier_has_run(tmp_path: Path,
                                                                              partner: ThreadingHTTPServer):
     """Its connection was taken for as old as the process, and its message's time for over."""
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -220,6 +220,7 @@
         self._turn_due = False
         self._timers: dict[int, Deadline] = {}
         self._frozen = self._catching_up = self._suspended = False
+        self._still_since = 0.0           # when it was last told to stand still
         if copies is not None:
             from winchspan.door import Door
 
@@ -535,6 +536,8 @@
     # ---- upgrade -----------------------------------------------------------------------------------------
     def suspend(self, still: bool) -> None:
         """Decide nothing and start nothing, or go on; what comes meanwhile is gathered."""
+        if still and not self._suspended:
+            self._still_since = self._clock.now()
         self._suspended = still
         if not still:
             self._events = self._aged(self._events)
@@ -546,9 +549,21 @@
         Guards against ends that come too late by as much as the module has stood still.
         """
         now = self._clock.now()
-        return [replace(event, left_ns=to_ns(max(0.0, query.deadline - now)))
-                if isinstance(event, api.Arrived) and (query := self._query(event.message)) is not None
-                else event for event in events]
+
+        def left(arrived: api.Arrived) -> api.Arrived:
+            query = self._query(arrived.message)
+            return arrived if query is None else replace(
+                arrived, left_ns=to_ns(max(0.0, query.deadline - now)))
+
+        def aged(event: api.Event) -> api.Event:
+            if isinstance(event, api.Arrived):
+                return left(event)
+            if isinstance(event, api.Recovered):       # a repeat would seem to have as much more time
+                ago = event.ran_ago_ns
+                return replace(event, arrived=left(event.arrived),
+                               ran_ago_ns=None if ago is None else ago + to_ns(now - self._still_since))
+            return event
+        return [aged(event) for event in events]
 
     def suspend_if(self, still: bool) -> None:
         """As `suspend`, where that is a change."""
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -36,6 +36,9 @@
 ADMIN_FILES = 18          # the operators' listening socket, 16 links, and one that is being accepted
 OWN_FILES = 16            # descriptors beside links: streams, the loop, the journal, the listening socket
 AGREEMENT_BYTES = 512 * 1024  # of the folder that lasts, for a fleet's agreement (agreement/store.py LIMIT)
+FIRST_LIST = 100.0        # ms at a start for discovery's first words: its agent answers at once, or is silent
+FIRST_LINE = 20.0         # and for a line once its answer has begun: where nothing is new, none comes for 2 s
+LOOK_AGAIN = 2.0          # between two looks whether it has
 LISTEN_ON = 700.0         # after SIGTERM, clients still come for 0.4 s
 START_UNTIL = 2_600.0     # after SIGTERM, new executions start; the platform kills no sooner than 3.7 s
 RUN_UNTIL = 3_300.0       # and this long what is out may still come back
@@ -199,7 +202,9 @@
             for part in self._parts:
                 part.adopted(self.courier.governor)
         elif self.copies is None:         # else it is taken up once it is known to be this courier's
+            self.courier.suspend(True)
             self.courier.recover()
+            self._first_list()
         for part in self._parts:
             await part.start()
         self._watch.open()
@@ -217,6 +222,26 @@
         if self._refused:
             raise ConfigError(self._refused)
 
+    def _first_list(self) -> None:
+        """Let nothing be sent before discovery has told what it has to tell.
+
+        Guards against calls of a process that was slow to start, to endpoints that its configuration still
+        lists: what the agent has counts as told from the process's first moment, and only what goes out
+        within 250 ms of that may have been on its way.
+        """
+        begun, answered = self.clock.now(), 0.0
+
+        def look() -> None:
+            nonlocal answered
+            now = self.clock.now()
+            if self._watch.answering and not answered:
+                answered = now
+            if self._watch.heard or now >= begun + FIRST_LIST or 0.0 < answered <= now - FIRST_LINE:
+                self.courier.suspend(False)
+            else:
+                self.deadlines.after(LOOK_AGAIN, look)
+        look()
+
     def refuse(self, why: str) -> None:
         """What this life was begun with cannot be used, as is found only now: it ends with that line."""
         logger.error("{}", why)
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -214,6 +214,12 @@
         self._line = bytearray()
         self._fresh = False           # ask for the whole list: what came did not fit
         self._moved = False           # the call at hand, if any, is to the address before
+        self.heard = False            # it has told something, if only that nothing is new
+
+    @property
+    def answering(self) -> bool:
+        """Whether the head of an answer has come."""
+        return self._call is not None and self._call.parser.status > 0
 
     def open(self) -> None:
         """Open the watch from the version held."""
@@ -253,6 +259,7 @@
         *lines, rest = (bytes(self._line) + piece).split(b"\n")
         self._line[:] = rest
         for line in lines:
+            self.heard = True
             if line.strip():
                 self._news(line)
         if len(self._line) > _MAX_LINE:
