Strike real processes with losses at random, judged as in virtual time

The rig's fleet and the emulated one are now struck by the same code: killed with and without the folder, frozen, restarted at once, cut off one way or both, by seed; clients and partner on real sockets.

--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import multiprocessing
+import shutil
 import statistics
 import tempfile
 import threading
@@ -18,8 +19,9 @@
 import click
 from loguru import logger
 
+from winchspan.standins import couriers
 from winchspan.standins.couriers import Fleet, wait_for
-from winchspan.standins.losses import Judged, play
+from winchspan.standins.losses import Judged, play, play_real
 from winchspan.standins.probed import Probed
 from winchspan.standins.sockets import HOST
 
@@ -27,12 +29,17 @@
 CLIENTS = 8               # that hand in one message after the other
 
 
-def one(work: tuple[int, int, int, int]) -> tuple[int, Judged]:
-    """One run."""
-    seed, members, losses, copies = work
+def one(work: tuple[int, int, int, int, bool]) -> tuple[int, Judged]:
+    """One run; of processes those that run at once draw their ports apart."""
+    seed, members, losses, copies, real = work
     logger.remove()
-    with tempfile.TemporaryDirectory() as folder:
-        return seed, play(Path(folder), members, losses, seed, copies)
+    low = 20_000 + seed % 16 * 700
+    couriers.PORTS = low, low + 700
+    folder = tempfile.mkdtemp()
+    found = (play_real if real else play)(Path(folder), members, losses, seed, copies)
+    if not (found.lost or found.both or found.at_once or found.doubled):
+        shutil.rmtree(folder)                          # else its logs are kept
+    return seed, found
 
 
 @click.group()
@@ -46,15 +53,19 @@
 @click.option("--members", default=3, help="Size of the fleet.")
 @click.option("--copies", default=1, help="Beside each courier's own.")
 @click.option("--cores", default=4, help="Runs at once.")
-def losses(count: int, seeds: tuple[int, int], members: int, copies: int, cores: int) -> None:
-    """Strike couriers at random, in virtual time."""
-    work = [(seed, members, count, copies) for seed in range(seeds[0], seeds[1] + 1)]
+@click.option("--real", is_flag=True, help="Processes on loopback, not virtual time.")
+def losses(count: int, seeds: tuple[int, int], members: int, copies: int, cores: int, real: bool) -> None:
+    """Strike couriers at random."""
+    work = [(seed, members, count, copies, real) for seed in range(seeds[0], seeds[1] + 1)]
     total, bad = 0, list[str]()
     taken = over = repeated = 0
     with multiprocessing.Pool(cores) as pool:
         for seed, found in pool.imap_unordered(one, work):
             total += sum(found.losses.values())
             taken, over, repeated = taken + found.taken, over + found.taken_over, repeated + found.repeated
+            print(f"seed {seed}: {dict(found.losses)}, {found.taken} +OK, {found.seconds:.0f} s, lost "
+                  f"{len(found.lost)}, both {len(found.both)}, at once {len(found.at_once)}, doubled "
+                  f"{len(found.doubled)}", flush=True)
             for what in ("lost", "both", "at_once", "doubled"):
                 if rows := getattr(found, what):
                     bad.append(f"seed {seed}: {what} {rows[:3]}")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -280,7 +280,7 @@
         load.stop()
         fleet.until("all clients have ended", task.done)
         fleet.run(30.0)
-        lost, both, at_once, doubled, _ = judge(fleet, load)
+        lost, both, at_once, doubled, _ = judge(fleet.endpoints, load)
         assert load.taken
         return [*(t.id for t in lost), *both, *at_once, *doubled]
     finally:
--- a/winchspan/standins/couriers.py
+++ b/winchspan/standins/couriers.py
@@ -13,8 +13,9 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import Any
 
 from winchspan.standins.platform import platform, wire
 from winchspan.standins.rehearsal import ends_with_its_parent
@@ -65,15 +66,15 @@
         self.fleet = ""           # the section of the operator's file
         self.process: subprocess.Popen[bytes] | None = None
 
-    def write(self, couriers: int) -> None:
-        """Write its configuration and its operator's file."""
+    def write(self, couriers: int, changes: Mapping[str, Any] | None = None) -> None:
+        """Write its configuration, with changes of the platform's settings, and its operator's file."""
         (self.folder / "state").mkdir(parents=True, exist_ok=True)
         (self.folder / "operator.sexp").write_text(self.fleet)
         (self.folder / "config.json").write_text(json.dumps({
             "name": self.name, "listen": f"{HOST}:{self.listen}", "admin": f"{HOST}:{self.admin}",
             "discovery": f"{HOST}:{self._discovery}", "state": str(self.folder / "state"), "seed": "1",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512, "disk_mb": 3}, "known": self._known,
-            "settings": wire(platform(couriers))}))
+            "settings": wire(platform(couriers, **(changes or {})))}))
 
     def start(self) -> None:
         """Begin a life."""
@@ -133,7 +134,8 @@
     """Some couriers that know of each other, `n0` and on."""
 
     def __init__(self, folder: Path, size: int, more: str = "", relayed: bool = False, seed: int = 1,
-                 discovery: int = 9, known: dict[str, object] | None = None) -> None:
+                 discovery: int = 9, known: dict[str, object] | None = None,
+                 changes: Mapping[str, Any] | None = None) -> None:
         """Write all files; nobody runs yet.
 
         Args:
@@ -144,7 +146,9 @@
             seed: of the relay's harm.
             discovery: port of the couriers' agent.
             known: the list of endpoints as last seen.
+            changes: of the platform's settings.
         """
+        self._changes = dict(changes or {})
         pairs = [(f"n{a}", f"n{b}") for a in range(size) for b in range(size) if a != b] if relayed else []
         ports = free_ports(3 * size + len(pairs))      # all at once: none is drawn twice
         self.ports = {f"n{number}": port for number, port in enumerate(ports[:size])}
@@ -168,7 +172,7 @@
                                for other in names)
             courier.fleet = (f'(fleet (on yes) (listen "{HOST}:{self.ports[name]}")\n'
                              f'       (members {members}) {self._more})\n')
-            courier.write(len(names))
+            courier.write(len(names), self._changes)
 
     def __getitem__(self, name: str) -> FleetCourier:
         return self.couriers[name]
@@ -206,13 +210,14 @@
         """Do something to a member (`standins.faults.ACTS`); a real disk is not filled here."""
         courier = self.couriers[name]
         if what == "start":
-            courier.start()
+            if courier.process is None:
+                courier.start()
         elif what in ("kill", "lose"):
             courier.kill()
             if what == "lose":
                 shutil.rmtree(courier.folder / "state")
                 (courier.folder / "state").mkdir()
-        else:
+        elif courier.process is not None:
             courier.signal({"freeze": signal.SIGSTOP, "thaw": signal.SIGCONT}[what])
 
     def cut(self, source: str, target: str) -> None:
@@ -237,6 +242,17 @@
             return all(self.couriers[name].members() == state for name, state in wanted)
         return wait_for(what, so)
 
+    def run(self, seconds: float) -> None:
+        """Let time pass; raises what has ended a member by itself."""
+        time.sleep(seconds)
+        for courier in self.couriers.values():
+            ended = courier.process.poll() if courier.process is not None else None
+            assert ended is None, f"{courier.name} has ended with {ended}: {courier.log()[-300:]}"
+
+    def until(self, what: str, check: Callable[[], bool]) -> float:
+        """Let time pass until something is so; returns how many seconds it took. Raises AssertionError."""
+        return wait_for(what, check)
+
     def stop(self) -> None:
         """End all."""
         for courier in self.couriers.values():
--- a/winchspan/standins/losses.py
+++ b/winchspan/standins/losses.py
@@ -1,15 +1,25 @@
-"""Losses of couriers in a fleet under load, in virtual time, judged by what clients and partners saw."""
+"""Losses of couriers in a fleet under load, judged by what clients and partners saw.
+
+The same in virtual time (`play`) and on real processes with relays between them (`play_real`).
+"""
 
 from __future__ import annotations
 
+import asyncio
 import random
+import re
+import threading
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Protocol
 
 from winchspan.emulator.fleet import EmulatedFleet
 from winchspan.emulator.network import Way
+from winchspan.standins.couriers import Fleet
 from winchspan.standins.load import CLASSES, DEPOSIT, Load, Taken
+from winchspan.standins.probed import Endpoints, Probed
 
 WINDOW = 10.0             # s in which a repeat of a payment is dropped by its partner, from its first run
 PARTNERS, SERVICE = 6, 0.2    # and s that a call takes
@@ -32,9 +42,35 @@
     seconds: float            # of virtual time
 
 
-def judge(fleet: EmulatedFleet, load: Load) -> tuple[list[Taken], list[str], list[str], list[str], int]:
+class Stage(Protocol):
+    """A fleet that losses strike."""
+
+    @property
+    def names(self) -> list[str]:
+        """All members."""
+
+    def act(self, what: str, name: str) -> None:
+        """Do one of `standins.faults.ACTS` to a member, but for cuts."""
+
+    def cut(self, source: str, target: str) -> None:
+        """Let nothing pass in one direction."""
+
+    def heal(self) -> None:
+        """Let all pass again."""
+
+    def whole(self) -> bool:
+        """Whether all run, and each holds all for alive."""
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+
+    def until(self, what: str, check: Callable[[], bool]) -> float:
+        """Let time pass until something is so."""
+
+
+def judge(seen: Endpoints, load: Load) -> tuple[list[Taken], list[str], list[str], list[str], int]:
     """What was lost, ended twice, ran at once, or had a second effect; and how many were repeated."""
-    seen, first, doubled = fleet.endpoints, dict[str, float](), list[str]()
+    first, doubled = dict[str, float](), list[str]()
     classes = {t.token: t.cls for t in load.taken.values()}
     for at, _, token in seen.begun:
         cls, again = classes.get(token, ""), token in first
@@ -61,17 +97,11 @@
         fleet.run(3.0)
         load = Load(fleet.ports, rate, PARTNERS, fleet.now, seed)
         task, begun = fleet.loop.create_task(load.run()), fleet.now()
-        for _ in range(losses):
-            struck = {name: rng.choice(KINDS) for name in rng.sample(fleet.names, rng.randint(1, copies))}
-            kinds.update(struck.values())
-            fleet.run(rng.uniform(0.5, 2.0))
-            strike(fleet, struck, rng)
-            fleet.until("all are there again", fleet.whole)
-            fleet.run(rng.uniform(0.5, 3.0))
+        struck(fleet, losses, copies, rng, kinds)
         load.stop()
         fleet.until("all clients have ended", task.done)
         fleet.run(30.0)
-        lost, both, at_once, doubled, repeated = judge(fleet, load)
+        lost, both, at_once, doubled, repeated = judge(fleet.endpoints, load)
         over = sum(m.figures().get("fleet.copies.messages_taken_over", 0) for m in fleet.members.values())
         return Judged(kinds, len(load.taken), lost, both, at_once, doubled, repeated, over, load.refused,
                       fleet.now() - begun)
@@ -79,7 +109,53 @@
         fleet.close()
 
 
-def strike(fleet: EmulatedFleet, struck: dict[str, str], rng: random.Random) -> None:
+def play_real(folder: Path, members: int, losses: int, seed: int, copies: int = 1, rate: float = 30.0,
+              hand_over: bool = False) -> Judged:
+    """As `play`, with a process for each courier, and a relay between each two."""
+    rng, kinds = random.Random(seed), Counter[str]()
+    partner = Probed(PARTNERS, 200.0)
+    partner.service = SERVICE
+    more = f"(copies {copies}){' (hand-over yes)' if hand_over else ''}"
+    fleet = Fleet(folder, members, more, True, seed, partner.agent, partner.known(), {"classes": CLASSES})
+    load = Load({name: courier.listen for name, courier in fleet.couriers.items()}, rate, PARTNERS, fleet.now,
+                seed)
+    clients = threading.Thread(target=lambda: asyncio.run(load.run()))
+    try:
+        fleet.start()
+        fleet.until("all take messages", lambda: all(
+            courier.figures().get("fleet.copies.mine") for courier in fleet.couriers.values()))
+        fleet.run(1.0)
+        clients.start()
+        begun = fleet.now()
+        struck(fleet, losses, copies, rng, kinds)
+        load.stop()
+        clients.join(60.0)
+        by = fleet.now() + 30.0
+        while fleet.now() < by and judge(partner, load)[0]:
+            fleet.run(0.5)
+        lost, both, at_once, doubled, repeated = judge(partner, load)
+        over = sum(int(found) for courier in fleet.couriers.values()
+                   for found in re.findall(r"has taken over (\d+) messages", courier.log()))
+        return Judged(kinds, len(load.taken), lost, both, at_once, doubled, repeated, over, load.refused,
+                      fleet.now() - begun)
+    finally:
+        load.stop()
+        fleet.stop()
+        partner.close()
+
+
+def struck(fleet: Stage, losses: int, copies: int, rng: random.Random, kinds: Counter[str]) -> None:
+    """Strike so many times, and wait each time until all are there again."""
+    for _ in range(losses):
+        which = {name: rng.choice(KINDS) for name in rng.sample(fleet.names, rng.randint(1, copies))}
+        kinds.update(which.values())
+        fleet.run(rng.uniform(0.5, 2.0))
+        strike(fleet, which, rng)
+        fleet.until("all are there again", fleet.whole)
+        fleet.run(rng.uniform(0.5, 3.0))
+
+
+def strike(fleet: Stage, struck: dict[str, str], rng: random.Random) -> None:
     """Let some be lost at the same time, each in its way, and come back after a while."""
     for name, kind in struck.items():
         if kind in ("kill", "lose", "freeze", "blink"):
