Lose couriers at each step of a message's life, alone and in company

Need (work in hand, hard cases, each by name): lost before the copy is acknowledged, before the client hears, after the answer and before its end is elsewhere, before its notice is heard; a record larger than a frame; a cut between owner and holder alone; all without power at once; owner and a holder together; the adopter dying twice in the middle; two takeovers in a row and the first owner waking; a holder whose folder is full; a cut-off owner with a call out at a slow partner.

--- /dev/null
+++ b/tests/test_takeover_steps.py
@@ -0,0 +1,279 @@
+"""Couriers lost at each step of a message's life, and in company: real processes, and whole daemons."""
+
+from __future__ import annotations
+
+import contextlib
+import re
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from winchspan.emulator.fleet import EmulatedFleet
+from winchspan.emulator.network import Way
+from winchspan.standins.couriers import Fleet, wait_for
+from winchspan.standins.load import CLASSES, DEPOSIT, Load
+from winchspan.standins.losses import judge
+from winchspan.standins.probed import Probed
+
+from .test_fleet_duties import submit
+from .test_takeover import NAMES, covered, ended, once, pay
+
+TOKEN = "5c0f6e1a2b3d4c59"
+
+
+@pytest.fixture
+def partner() -> Iterator[Probed]:
+    found = Probed(3, 200.0)
+    found.service = 0.02
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def fleet(tmp_path: Path, partner: Probed) -> Iterator[Fleet]:
+    found = Fleet(tmp_path, 3, "(copies 1)", True, discovery=partner.agent, known=partner.known(),
+                  changes={"classes": CLASSES})
+    found.start()
+    wait_for("all take messages", lambda: all(covered(found, name) for name in NAMES))
+    yield found
+    found.stop()
+
+
+def holder(fleet: Fleet, name: str) -> str:
+    """Who holds the copy of a courier's work."""
+    return re.findall(r"copies: (\w+) are to hold", fleet[name].log())[-1]
+
+
+def third(fleet: Fleet, *names: str) -> str:
+    return next(name for name in NAMES if name not in names)
+
+
+def held(fleet: Fleet, at: str, id_: str) -> bool:
+    """Whether a message stands in the copy that a courier has of n1's work."""
+    paths = (fleet[at].folder / "state" / "copies" / "n1").glob("*")
+    return any(id_.encode() in path.read_bytes() for path in paths)
+
+
+def hand_in_and_wait(fleet: Fleet, id_: str, cls: str, token: str) -> threading.Thread:
+    """A client that waits for its answer from n1, which may never come."""
+    def run() -> None:
+        with contextlib.suppress(OSError):
+            submit(fleet["n1"].listen, 0, 20_000, id_, cls, 77, token)
+    client = threading.Thread(target=run, daemon=True)
+    client.start()
+    return client
+
+
+@pytest.mark.parametrize("copied", [False, True])
+def test_lost_before_its_copy_is_acknowledged_or_before_the_client_hears(fleet: Fleet, partner: Probed,
+                                                                        copied: bool):
+    """Before the copy is there it ends with its courier, or not at all; once it is, both ids end."""
+    partner.hold("s-0")
+    where = holder(fleet, "n1")
+    fleet.cut(where, "n1")                             # no acknowledgement comes
+    if not copied:
+        fleet.cut("n1", where)
+    first = "00000000000000a1"
+    hand_in_and_wait(fleet, first, "order-payment", TOKEN)
+    if copied:
+        wait_for("its copy is there", lambda: held(fleet, where, first))
+    else:
+        wait_for("it waits for its copy", lambda: fleet["n1"].figures().get("fleet.copies.unsecured", 0) > 0)
+    fleet["n1"].kill()
+    fleet.heal()
+    again = pay(fleet, third(fleet, "n1", where), 77, TOKEN)      # as a client does that had no answer
+    partner.let_go()
+    wait_for("what was answered has ended", lambda: ended(partner, [first, again] if copied else [again]))
+    once(partner, [first, again])
+    assert TOKEN not in partner.tokens_at_once
+
+
+def test_lost_after_the_answer_and_before_its_end_is_recorded_elsewhere(fleet: Fleet, partner: Probed):
+    """Whoever goes on takes it for what may have run: a deposit is not sent again."""
+    partner.hold("s-0")
+    id_ = "00000000000000a2"
+    assert submit(fleet["n1"].listen, 0, 20_000, id_, DEPOSIT, 0, TOKEN) == b"+OK\r\n"
+    wait_for("it is out", lambda: id_ in {row[1] for row in partner.begun})
+    for name in ("n0", "n2"):
+        fleet.cut("n1", name)
+    partner.let_go()
+    wait_for("it is delivered", lambda: partner.ids[id_] == 1)
+    fleet.act("lose", "n1")
+    fleet.heal()
+    wait_for("another has told its end", lambda: partner.noticed[id_] > 0)
+    assert partner.ids[id_] == 1 and partner.first_end[id_] == "delivery"
+
+
+def test_lost_after_the_end_and_before_its_notice_is_heard(fleet: Fleet, partner: Probed):
+    partner.hold("s-0", "s-1", "s-2")
+    partner.deaf = True
+    id_ = "00000000000000a3"
+    assert submit(fleet["n1"].listen, 0, 600, id_) == b"+OK\r\n"
+    wait_for("its notice is out", lambda: partner.unanswered[id_] > 0)
+    fleet["n1"].kill()
+    wait_for("another goes on with its work", lambda: any(
+        fleet[name].figures().get("fleet.copies.taken_over") for name in ("n0", "n2")))
+    partner.deaf = False
+    partner.let_go()
+    wait_for("its end is heard", lambda: partner.noticed[id_] > 0)
+    assert partner.ids[id_] == 0
+
+
+def test_a_record_larger_than_a_frame_is_copied_and_gone_on_with(fleet: Fleet, partner: Probed):
+    partner.hold("s-0")
+    id_, body = "00000000000000a4", b"x" * 65_000
+    words = [b"SUBMIT", b"0" * 16, id_.encode(), f"c=gallery-notice,d=9000,k={TOKEN},dest=0".encode(), body]
+    with socket.create_connection(("127.0.0.1", fleet["n1"].listen), timeout=5.0) as link:
+        link.sendall(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+        assert link.recv(100) == b"+OK\r\n"
+    fleet.act("lose", "n1")
+    partner.let_go()
+    wait_for("it has ended", lambda: ended(partner, [id_]))
+    once(partner, [id_])
+
+
+def test_a_cut_between_owner_and_holder_alone_moves_the_copy_and_nothing_else(fleet: Fleet, partner: Probed):
+    where = holder(fleet, "n1")
+    fleet.cut("n1", where)
+    fleet.cut(where, "n1")
+    wait_for("another holds it", lambda: holder(fleet, "n1") != where)
+    ids = [pay(fleet, "n1", 77) for _ in range(3)]
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    once(partner, ids)
+    fleet.heal()
+    wait_for("all are there", fleet.whole)
+    assert all(fleet[name].figures()["fleet.copies.taken_over"] == 0 for name in NAMES)
+
+
+def test_all_lose_power_together_and_return_with_their_folders(fleet: Fleet, partner: Probed):
+    partner.hold("s-0", "s-1", "s-2")
+    ids = [pay(fleet, name, 77 + n) for n, name in enumerate(NAMES) for _ in range(3)]
+    for name in NAMES:
+        fleet[name].kill()
+    fleet.start()
+    partner.let_go()
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    once(partner, ids)
+
+
+# ---- five whole daemons with two copies, in virtual time --------------------------------------------------
+class Played:
+    """A fleet under load, and what is asked of it."""
+
+    def __init__(self, folder: Path, copies: int = 2, size: int = 5) -> None:
+        self.fleet = EmulatedFleet(folder, size, 1, 6, 0.0, way=Way(latency=0.3, jitter=0.5),
+                                   more=f"(copies {copies})", changes={"classes": CLASSES})
+        self.fleet.endpoints.service = 0.3
+        self.fleet.start()
+        self.fleet.until("all take messages", lambda: all(self.fig(n, "mine") for n in self.fleet.names))
+        self.fleet.run(3.0)
+        self.load = Load(self.fleet.ports, 30.0, 6, self.fleet.now)
+        self.task = self.fleet.loop.create_task(self.load.run())
+        self.fleet.run(1.0)
+
+    def fig(self, name: str, what: str) -> int:
+        return self.fleet.members[name].figures().get(f"fleet.copies.{what}", 0)
+
+    def holders(self, name: str) -> tuple[str, ...]:
+        """Who holds copies of a courier's work, by whoever leads."""
+        ledger = next(part for member in self.fleet.members.values() if member.daemon is not None
+                      for part in member.daemon.parts_in_use)._council.ledger  # type: ignore[attr-defined]
+        return tuple(ledger.places[name].names)
+
+    def adopting(self, owner: str) -> Callable[[], bool]:
+        """Whether somebody has been named to go on with a courier's work, or has begun to."""
+        return lambda: bool(self.adopter(owner))
+
+    def adopter(self, owner: str) -> str:
+        """Who may act on a courier's work that is not its own."""
+        return next((name for name in self.fleet.names if name != owner
+                     and self.fleet.members[name].figures().get(f"fleet.duty.work-{owner}")), "")
+
+    def end(self) -> None:
+        """All are there again; whatever was promised has ended, once."""
+        for name in self.fleet.names:
+            self.fleet.act("thaw", name)
+            self.fleet.act("start", name)
+        self.fleet.until("all are there again", self.fleet.whole)
+        self.fleet.run(2.0)
+        self.load.stop()
+        self.fleet.until("all clients have ended", self.task.done)
+        self.fleet.run(30.0)
+        lost, both, at_once, doubled, _ = judge(self.fleet.endpoints, self.load)
+        assert len(self.load.taken) > 50
+        assert (lost, both, at_once, doubled) == ([], [], [], [])
+
+
+@pytest.fixture
+def played(tmp_path: Path) -> Iterator[Played]:
+    found = Played(tmp_path)
+    yield found
+    found.fleet.close()
+
+
+def test_owner_and_one_holder_lost_together_with_two_copies(played: Played):
+    one, other = played.holders("n1")
+    for name in ("n1", one):
+        played.fleet.act("lose", name)
+    played.fleet.until("the other goes on", lambda: played.fig(other, "taken_over") >= 1)
+    played.end()
+
+
+def test_the_adopter_dies_in_the_middle_and_the_next_one_too(played: Played):
+    played.fleet.act("kill", "n1")
+    for _ in range(2):
+        played.fleet.until("somebody is to go on", played.adopting("n1"), step=0.005)
+        name = played.adopter("n1")
+        played.fleet.act("kill", name)
+        played.fleet.run(0.5)
+        played.fleet.act("start", name)
+        played.fleet.until("it knows of that", lambda name=name: not played.adopter("n1") or  # type: ignore[misc]
+                           played.adopter("n1") != name or played.fig(name, "taken_over") > 0, step=0.005)
+    played.end()
+
+
+def test_two_takeovers_of_one_work_in_a_row_and_then_the_first_owner_wakes(played: Played):
+    played.fleet.act("freeze", "n1")
+    played.fleet.until("somebody goes on", lambda: any(
+        played.fig(n, "taken_over") for n in played.fleet.names))
+    first = next(n for n in played.fleet.names if played.fig(n, "taken_over"))
+    played.fleet.act("freeze", first)
+    played.fleet.until("another goes on with both", lambda: any(
+        played.fig(n, "taken_over") for n in played.fleet.names if n != first))
+    played.fleet.act("thaw", "n1")
+    played.fleet.run(3.0)
+    played.end()
+
+
+def test_a_holder_whose_folder_is_full_is_replaced(played: Played):
+    one, _ = played.holders("n1")
+    played.fleet.act("fill", one)
+    played.fleet.until("others hold it", lambda: one not in played.holders("n1"))
+    taken = len(played.load.taken)
+    played.fleet.run(3.0)
+    assert sum(t.courier == "n1" for t in list(played.load.taken.values())[taken:]) > 3
+    played.fleet.act("room", one)
+    played.end()
+
+
+def test_one_that_is_cut_off_with_a_call_out_gives_it_up_before_another_begins(tmp_path: Path):
+    """A partner that works for 8 s on a call, and a courier that nobody hears meanwhile."""
+    played = Played(tmp_path)
+    try:
+        played.fleet.endpoints.service = 8.0
+        played.fleet.run(1.0)
+        for other in played.fleet.names:
+            if other != "n1":
+                played.fleet.cut("n1", other)
+                played.fleet.cut(other, "n1")
+        played.fleet.until("somebody goes on", lambda: any(
+            played.fig(n, "taken_over") for n in played.fleet.names))
+        assert played.fig("n1", "given_up") > 0
+        played.fleet.endpoints.service = 0.3
+        played.fleet.heal()
+        played.end()
+    finally:
+        played.fleet.close()
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -96,6 +96,8 @@
         self.tokens_at_once: list[str] = []            # and tokens, whatever the messages' ids
         self._held: set[str] = set()                   # endpoints whose calls wait
         self._out: Counter[str] = Counter()            # by id, and by token
+        self.deaf = False                              # notices are read, and answered only once it is not
+        self.unanswered: Counter[str] = Counter()      # messages whose notice has been read
         self.service = 0.0                             # s that a call takes; 0: none at all
         self.begun: list[tuple[float, str, str]] = []  # calls that were held or took time: when, id and token
         self.agent = 0            # port of an agent that takes notices, and has no list
@@ -106,6 +108,11 @@
         async def notices(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while (request := await read_request(reader)) is not None:
                 if request.path == "/v1/notices":
+                    self.unanswered.update(json.loads(line)["id"] for line in request.body.splitlines())
+                    while self.deaf:
+                        await asyncio.sleep(0.01)
+                    if writer.is_closing():
+                        return                         # whoever told it is gone: nobody has heard the answer
                     for line in request.body.splitlines():
                         id_ = json.loads(line)["id"]
                         self.noticed[id_] += 1
