--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -19,8 +19,11 @@
 import click
 from loguru import logger
 
+from winchspan.emulator.fleet import EmulatedFleet
+from winchspan.emulator.network import Way
 from winchspan.standins import couriers
 from winchspan.standins.couriers import Fleet, wait_for
+from winchspan.standins.load import CLASSES, Load
 from winchspan.standins.losses import Judged, play, play_real
 from winchspan.standins.probed import Probed
 from winchspan.standins.sockets import HOST
@@ -132,5 +135,100 @@
               f"{1e3 * statistics.median(ranks):.2f} ms, p99 {1e3 * ranks[int(0.99 * len(ranks))]:.2f} ms")
 
 
+@main.command()
+@click.option("--rounds", default=20, help="Kills.")
+@click.option("--messages", default=30, help="Open at each.")
+def times(rounds: int, messages: int) -> None:
+    """From SIGKILL for good to the adopted messages' first call, and to the last end; processes."""
+    first, last = list[float](), list[float]()
+    for number in range(rounds):
+        partner = Probed(6, 10_000.0)
+        partner.service = 0.05
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(Path(folder), 3, "(copies 1)", discovery=partner.agent, known=partner.known())
+            try:
+                fleet.start()
+                wait_for("it takes messages", lambda f=fleet: all(  # type: ignore[misc]
+                    courier.figures().get("fleet.copies.mine") for courier in f.couriers.values()))
+                time.sleep(1.0)
+                partner.hold(*(f"s-{n}" for n in range(6)))
+                ids = [f"{number:08x}{n:08x}" for n in range(messages)]
+                taken = [id_ for id_ in ids if asyncio.run(hand_in(fleet["n1"].listen, id_))]
+                fleet["n1"].kill()
+                killed = time.monotonic()
+                partner.let_go()
+                wait_for("all have ended", lambda t=taken, p=partner: all(  # type: ignore[misc]
+                    p.ids[id_] or p.noticed[id_] for id_ in t))
+                last.append(time.monotonic() - killed)
+                first.append(min(at for at, id_, _ in partner.begun if id_ in taken and at > killed) - killed)
+            finally:
+                fleet.stop()
+                partner.close()
+    for what, rows in (("first call", first), ("last end", last)):
+        print(f"{what}: median {statistics.median(rows):.2f} s, longest of {len(rows)} {max(rows):.2f} s")
+
+
+async def hand_in(port: int, id_: str) -> bool:
+    """One notice, wanted within 9 s; whether it was taken."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    told = b"c=gallery-notice,d=9000,k=%s,dest=%d" % (id_.encode(), int(id_, 16) % 6)
+    words = [b"SUBMIT", b"0" * 16, id_.encode(), told, b"x" * 200]
+    writer.write(b"*5\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words))
+    answer = await reader.readline()
+    writer.close()
+    return answer.startswith(b"+OK")
+
+
+@main.command()
+@click.option("--seeds", nargs=2, default=(1, 5), help="First and last.")
+@click.option("--members", default=6, help="Size of the fleet; a third of it is lost for good.")
+def worth(seeds: tuple[int, int], members: int) -> None:
+    """Share of worth kept on a day on which a third of the couriers is lost, without copies and with one."""
+    logger.remove()
+    for copies in (0, 1):
+        rows = [day(members, seed, copies) for seed in range(seeds[0], seeds[1] + 1)]
+        print(f"copies {copies}: worth kept {statistics.mean(row[0] for row in rows):.3f} "
+              f"({', '.join(f'{row[0]:.3f}' for row in rows)}), answered +OK without an end "
+              f"{[row[1] for row in rows]}, bytes between couriers a message {rows[0][2]:.0f}")
+
+
+def day(members: int, seed: int, copies: int) -> tuple[float, int, float]:
+    """A day of 60 s in virtual time; the couriers are lost in its middle, one after the other.
+
+    Returns the share of worth, how many that were answered +OK have no end, and bytes a message between
+    couriers, heartbeats and all.
+    """
+    more = f"(copies {copies})" if copies else '(duties "one")'
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = EmulatedFleet(Path(folder), members, seed, 6, 0.0, way=Way(latency=0.3, jitter=0.5),
+                              more=more, changes={"classes": CLASSES})
+        try:
+            fleet.endpoints.service = 0.2
+            fleet.start()
+            fleet.run(8.0)
+            load = Load(fleet.ports, 10.0 * members, 6, fleet.now, seed)
+            task = fleet.loop.create_task(load.run())
+            fleet.run(20.0)
+            for name in fleet.names[:members // 3]:
+                fleet.act("lose", name)
+                fleet.run(5.0)
+            fleet.run(40.0 - 5.0 * (members // 3))
+            load.stop()
+            fleet.until("all clients have ended", task.done)
+            fleet.run(30.0)
+            seen, best = fleet.endpoints, dict[str, float]()
+            for id_, taken in load.taken.items():
+                if id_ in seen.delivered_at:
+                    cls, late = CLASSES[taken.cls], seen.delivered_at[id_] - load.handed[taken.token][1]
+                    share = max(cls.late_worth, 0.5 ** max(0.0, late / (cls.aim_ns / 1e9) - 1.0))
+                    best[taken.token] = max(best.get(taken.token, 0.0), cls.worth * share)
+            asked = sum(CLASSES[cls].worth for cls, _ in load.handed.values())
+            open_ = sum(not seen.ids[id_] and not seen.noticed[id_] for id_ in load.taken)
+            wire = fleet.network.bytes_between(set(fleet.names)) / max(1, len(load.taken))
+            return sum(best.values()) / asked, open_, wire
+        finally:
+            fleet.close()
+
+
 if __name__ == "__main__":
     main()
--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -135,6 +135,22 @@
     once(partner, [id_])
 
 
+def test_what_an_operator_took_out_of_service_at_a_lost_courier_stays_out_for_its_work(fleet: Fleet,
+                                                                                      partner: Probed):
+    fleet["n1"].operate("endpoints/s-0/offline")
+    ids = [pay(fleet, "n1", 77) for _ in range(2)]
+    fleet.act("lose", "n1")
+    where = ["n0", "n2"]
+    wait_for("another goes on with its work", lambda: any(
+        fleet[name].figures().get("fleet.copies.taken_over") for name in where))
+    name = next(name for name in where if fleet[name].figures().get("fleet.copies.taken_over"))
+    wait_for("it says so", lambda: "s-0 is out of service by hand, as it was at n1" in fleet[name].log())
+    assert all(partner.ids[id_] == 0 for id_ in ids)
+    fleet[name].operate("endpoints/s-0/online")
+    wait_for("all that was taken has ended", lambda: ended(partner, ids))
+    once(partner, ids)
+
+
 def test_a_cut_between_owner_and_holder_alone_moves_the_copy_and_nothing_else(fleet: Fleet, partner: Probed):
     where = holder(fleet, "n1")
     fleet.cut("n1", where)
--- a/winchspan/copying.py
+++ b/winchspan/copying.py
@@ -118,7 +118,7 @@
         self._handed = False
         self._asked_at, self._recovered, self._flushing, self._closed = 0.0, False, False, False
         self.counts = {"taken_over": 0, "messages_taken_over": 0, "may_have_run": 0, "lost_work": 0,
-                       "refused": 0, "given_up": 0, "heard_delivered": 0, "handed_over": 0}
+                       "took_ms": 0, "refused": 0, "given_up": 0, "heard_delivered": 0, "handed_over": 0}
         for kind, of in _WORDS.items():
             self._reads(kind, of)
 
@@ -552,6 +552,8 @@
                     adoption.entries.clear()
                     return
                 adoption.entries.append(entry)
+            book = self._library.book(owner)
+            adoption.offline = list(book.offline) if book is not None else []
             adoption.entered = True
             self.secure(lambda: setattr(adoption, "secured", True), lambda: None)
         if adoption.secured and now >= adoption.asked_at + ASK_AGAIN:
@@ -565,6 +567,10 @@
         logger.info("copies: has taken over {} messages of {}, {} of which may have run",
                     len(adoption.entries), owner, may)
         self.counts["taken_over"] += 1
+        self.counts["took_ms"] = int(self.now() - adoption.began)
+        for name in adoption.offline:
+            if name not in self._daemon.group.by_hand and self._daemon.group.offline(name):
+                logger.warning("copies: {} is out of service by hand, as it was at {}", name, owner)
         self.counts["messages_taken_over"] += len(adoption.entries)
         self.counts["may_have_run"] += may
         self._claiming.claim(owner, adoption.epoch, adoption.entries)
@@ -582,4 +588,5 @@
         self.asked_at = float("-inf")
         self.promised: set[str] = set()
         self.entries: list[Entry] = []
+        self.offline: list[str] = []      # endpoints that an operator had taken out of service there
         self.entered = self.secured = False
--- a/winchspan/emulator/network.py
+++ b/winchspan/emulator/network.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from hashlib import sha256
@@ -104,6 +104,7 @@
             torn: whether reads and writes break at random boundaries.
         """
         self.loop, self.trace = loop, Trace()
+        self.crossed: Counter[tuple[str, str]] = Counter()     # bytes that were sent, by way
         delays, tears, harm = np.random.SeedSequence(seed).spawn(3)
         self._delays, self._tears = np.random.default_rng(delays), np.random.default_rng(tears)
         self._losses = np.random.default_rng(harm)
@@ -225,12 +226,17 @@
         for _ in range(2 if way.doubled > 0.0 and float(self._losses.random()) < way.doubled else 1):
             self.send(sock.place, target, len(data), 0, arrive, held=False)
 
+    def bytes_between(self, places: set[str]) -> int:
+        """Bytes that some places have sent each other."""
+        return sum(size for (a, b), size in self.crossed.items() if a in places and b in places)
+
     def send(self, source: str, target: str, size: int, after: int, action: Callable[[], None],
              held: bool = True) -> int:
         """Let something arrive, no sooner than at `after` ns; returns when it will, if nothing is cut.
 
         What comes to a way that is cut is held until that is healed, or else lost.
         """
+        self.crossed[source, target] += size
         way = self._ways.get((source, target), self._way)
         took = way.latency + (float(self._delays.exponential(way.jitter)) if way.jitter > 0.0 else 0.0)
         at = max(after + 1, self.loop.ns + int(took * 1e6))     # timers of one reading have no order
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -227,6 +227,7 @@
         """The records that stand for all that is open at this moment, and for what holds for all of it."""
         found = [record({"t": "last", "at": self.last_call})] if self.last_call else []
         found += [self._classes(number) for number in sorted(self.tables)]
+        found += [self._offline()] if self.offline else []
         return found + [piece for entry in self.entries for piece in entry.records()]
 
     def by_hand(self, names: list[str]) -> None:
--- a/winchspan/standins/load.py
+++ b/winchspan/standins/load.py
@@ -48,6 +48,7 @@
     patience: dict[str, float] = field(default_factory=lambda: {
         "order-payment": 24.0, "gallery-notice": 9.0, DEPOSIT: 24.0})
     taken: dict[str, Taken] = field(default_factory=dict)
+    handed: dict[str, tuple[str, float]] = field(default_factory=dict)     # by token: class, since when
     refused: int = 0
     unanswered: int = 0
     _stopped: bool = False
@@ -79,6 +80,7 @@
         """One message, at up to three couriers."""
         token, names = f"{number:016x}", list(self.ports)
         deadline = self.now() + self.patience[cls]
+        self.handed[token] = cls, self.now()
         for again in range(3):
             name = names[(first + again) % len(names)]
             id_ = f"{number * 8 + again:016x}"
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -91,6 +91,7 @@
         self.ids: Counter[str] = Counter()             # messages that were answered 200
         self.ports: dict[str, int] = {}
         self.noticed: Counter[str] = Counter()         # messages that have had a notice
+        self.delivered_at: dict[str, float] = {}       # when a message was first answered 200
         self.first_end: dict[str, str] = {}            # "delivery" or "notice", by message
         self.at_once: list[str] = []                   # messages of which two calls were out together
         self.tokens_at_once: list[str] = []            # and tokens, whatever the messages' ids
@@ -181,6 +182,7 @@
         status, headers = self.answers.get(name, (200, ()))
         if status == 200 and "x-request-id" in request.headers:
             self.ids[request.headers["x-request-id"]] += 1
+            self.delivered_at.setdefault(request.headers["x-request-id"], self._now())
             self.first_end.setdefault(request.headers["x-request-id"], "delivery")
         return answer(status, b"", headers)
 
