Lose a courier with a call of several messages out

Three real processes; ten deposits are handed in at once until some share a call, which the partner holds; its courier is killed: none of those is sent again, each ends.

--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -7,15 +7,18 @@
 import socket
 import threading
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 
+from winchspan import interface as api
 from winchspan.emulator.fleet import EmulatedFleet
 from winchspan.emulator.network import Way
 from winchspan.standins.couriers import Fleet, wait_for
 from winchspan.standins.load import CLASSES, DEPOSIT, Load
 from winchspan.standins.losses import judge
+from winchspan.standins.platform import KIND
 from winchspan.standins.probed import Probed
 
 from .test_fleet_duties import submit
@@ -122,6 +125,35 @@
     assert partner.ids[id_] == 0
 
 
+def test_a_call_of_ten_that_was_out_counts_for_each_as_one_that_may_have_run(tmp_path: Path, partner: Probed):
+    fleet = Fleet(tmp_path, 3, "(copies 1)", discovery=partner.agent, known=partner.known(),
+                  changes={"classes": CLASSES, "kinds": {KIND: api.Kind(per_call=10)}})
+    try:
+        fleet.start()
+        wait_for("all take messages", lambda: all(covered(fleet, name) for name in NAMES))
+        partner.hold("s-0")
+        ids: list[str] = []
+
+        def together() -> bool:
+            """Hand ten in at the same time, until some of them share a call."""
+            more = [f"{0xb00 + len(ids) + n:016x}" for n in range(10)]
+            with ThreadPoolExecutor(10) as clients:
+                answers = list(clients.map(
+                    lambda id_: submit(fleet["n1"].listen, 0, 20_000, id_, DEPOSIT, 0, id_), more))
+            ids.extend(id_ for id_, answer in zip(more, answers, strict=True) if answer == b"+OK\r\n")
+            wait_for("one is out", lambda: len(partner.begun) > 0)
+            return partner.most_in_a_call > 1
+        wait_for("several are out in a call", together)
+        out = {row[1] for row in partner.begun}
+        fleet["n1"].kill()
+        partner.let_go()
+        wait_for("all that was taken has ended", lambda: ended(partner, ids))
+        once(partner, ids)
+        assert all(partner.ids[id_] == 0 for id_ in ids if id_ in out), "what may have run is not sent again"
+    finally:
+        fleet.stop()
+
+
 def test_a_record_larger_than_a_frame_is_copied_and_gone_on_with(fleet: Fleet, partner: Probed):
     partner.hold("s-0")
     id_, body = "00000000000000a4", b"x" * 65_000
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -73,6 +73,14 @@
     return Verdict(len(acts), twice, too_late, old, worst)
 
 
+def _messages(request: Request) -> list[tuple[str, str]]:
+    """Id and token of each message in a call; none in a probe."""
+    if request.path == "/hook/batch":
+        return [(item["id"], item.get("key", "")) for item in json.loads(request.body)]
+    id_ = request.headers.get("x-request-id", "")
+    return [(id_, request.headers.get("idempotency-key", ""))] if id_ else []
+
+
 class Endpoints:
     """Some partners, one endpoint each, on the running loop."""
 
@@ -94,6 +102,7 @@
         self.delivered_at: dict[str, float] = {}       # when a message was first answered 200
         self.first_end: dict[str, str] = {}            # "delivery" or "notice", by message
         self.at_once: list[str] = []                   # messages of which two calls were out together
+        self.most_in_a_call = 0                        # messages, of calls that were held or took time
         self.tokens_at_once: list[str] = []            # and tokens, whatever the messages' ids
         self._held: set[str] = set()                   # endpoints whose calls wait
         self._out: Counter[str] = Counter()            # by id, and by token
@@ -129,12 +138,14 @@
             async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                             name: str = name) -> None:
                 while (request := await read_request(reader)) is not None:
-                    id_ = request.headers.get("x-request-id", "")
-                    if id_ and (name in self._held or self.service):
-                        token = request.headers.get("idempotency-key", "")
-                        self._begins(id_, token)
+                    messages = _messages(request)
+                    if messages and (name in self._held or self.service):
+                        self.most_in_a_call = max(self.most_in_a_call, len(messages))
+                        for id_, token in messages:
+                            self._begins(id_, token)
                         whole = await self._carry_out(reader, name)
-                        self._out.subtract((id_, f"token {token}"))
+                        for id_, token in messages:
+                            self._out.subtract((id_, f"token {token}"))
                         if not whole:
                             return                     # the courier has given it up, or has died
                     writer.write(self._answer(name, request))
@@ -180,11 +191,13 @@
         else:
             self.calls.append((self._now(), name))
         status, headers = self.answers.get(name, (200, ()))
-        if status == 200 and "x-request-id" in request.headers:
-            self.ids[request.headers["x-request-id"]] += 1
-            self.delivered_at.setdefault(request.headers["x-request-id"], self._now())
-            self.first_end.setdefault(request.headers["x-request-id"], "delivery")
-        return answer(status, b"", headers)
+        messages = _messages(request) if status == 200 else []
+        for id_, _ in messages:
+            self.ids[id_] += 1
+            self.delivered_at.setdefault(id_, self._now())
+            self.first_end.setdefault(id_, "delivery")
+        body = json.dumps([{"id": id_, "state": "ok"} for id_, _ in messages]).encode()
+        return answer(status, body if request.path == "/hook/batch" else b"", headers)
 
     def known(self, but: tuple[str, ...] = ()) -> dict[str, object]:
         """The list of them, as discovery has it; some are left out of service."""
