Let a message that went elsewhere before its courier was known silent go before the first

Read in the design: a client that has waited 400 ms hands in again elsewhere before members call its courier silent; the second is in force there when the first is claimed, and the first ran beside it or after its window. A courier that hears a token claimed now answers with its own: open ones go first, ended ones are told with when they may have run. Real processes, the second held by its partner while the first is taken over: both ran at once before, and the test fails without this.

--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -94,6 +94,29 @@
     assert TOKEN not in partner.tokens_at_once
 
 
+def test_one_handed_in_elsewhere_before_anybody_knew_goes_first_and_the_first_is_told(fleet: Fleet,
+                                                                                     partner: Probed):
+    """Its first courier is silent to its client alone; the second has it out when the first is lost."""
+    partner.hold("s-0")
+    where = holder(fleet, "n1")
+    fleet.cut(where, "n1")
+    first = "00000000000000a5"
+    hand_in_and_wait(fleet, first, "order-payment", TOKEN)
+    wait_for("its copy is there", lambda: held(fleet, where, first))
+    again = pay(fleet, third(fleet, "n1", where), 77, TOKEN)
+    wait_for("it is out", lambda: again in {row[1] for row in partner.begun})
+    fleet["n1"].kill()
+    fleet.heal()
+    wait_for("another goes on with the first", lambda: any(
+        fleet[name].figures().get("fleet.copies.taken_over") for name in ("n0", "n2")))
+    wait_for("it waits for the second", lambda: any(
+        fleet[name].figures().get("fleet.copies.waiting") for name in ("n0", "n2")))
+    partner.let_go()
+    wait_for("each has its end", lambda: ended(partner, [first, again]))
+    assert TOKEN not in partner.tokens_at_once
+    once(partner, [first, again])
+
+
 def test_lost_after_the_answer_and_before_its_end_is_recorded_elsewhere(fleet: Fleet, partner: Probed):
     """Whoever goes on takes it for what may have run: a deposit is not sent again."""
     partner.hold("s-0")
--- a/winchspan/claiming.py
+++ b/winchspan/claiming.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from winchspan import interface as api
-from winchspan.copies.claims import Claim, Claims, Ran, marks
+from winchspan.copies.claims import TOKEN, Claim, Claims, Ran, marks
 from winchspan.copies.shelf import Shelf
 from winchspan.copies.store import Library
 from winchspan.journal import Entry
@@ -21,6 +21,8 @@
     from winchspan.daemon import Daemon
 
 ROWS = 256                # claims in one frame
+FIRST = "!"               # before a courier's name: what it has of a token that is claimed goes first
+MOST_RAN = 1_024          # of this courier's own messages, whose end is remembered with their token
 MARK = 9                  # bytes of a mark (`copies.claims`)
 LONGEST = 64              # characters of an id or a zone that another says
 
@@ -50,7 +52,16 @@
     epoch: int
 
 
-_WORDS: dict[str, type[Any]] = {"copy-claims": _Claims, "copy-over": _Over, "copy-speaks": _Speaks}
+class _Ran(msgspec.Struct, array_like=True):
+    """A message with a token that somebody has claimed may have run elsewhere, `ago` ms ago."""
+
+    mark: bytes
+    ago: float
+    zone: str
+
+
+_WORDS: dict[str, type[Any]] = {"copy-claims": _Claims, "copy-over": _Over, "copy-speaks": _Speaks,
+                                "copy-ran": _Ran}
 _KINDS = {of: kind for kind, of in _WORDS.items()}
 _ENCODER = msgspec.msgpack.Encoder()
 
@@ -73,6 +84,7 @@
         self._free: dict[int, tuple[tuple[bytes, ...], Callable[[tuple[float, str] | None], None]]] = {}
         self._spoken: dict[str, int] = {}     # silent couriers for whose work it claims, and the epoch
         self._claimed: dict[int, tuple[str, int]] = {}     # what is in force here and claimed, and for whom
+        self._lately: dict[bytes, tuple[float, str]] = {}      # tokens that have run here: since when, where
         for kind, of in _WORDS.items():
             self._reads(kind, of)
 
@@ -137,6 +149,10 @@
                 found = [Claim(id_, tuple(its[:2]), left) for id_, its, left in rows
                          if len(id_) <= LONGEST and all(len(mark) == MARK for mark in its[:2])]
                 self._claims.claimed(self._now(), owner, epoch, found)
+                if not owner.startswith(FIRST) and owner != self._me:
+                    self._answer({mark for claim in found for mark in claim.marks if mark[:1] == TOKEN})
+            case _Ran(mark, ago, zone) if len(mark) == MARK:
+                self._claims.has_run(self._now(), mark, Ran(ago, zone[:LONGEST]))
             case _Over(owner, epoch, id_, ago, zone):
                 ran = Ran(ago, zone[:LONGEST]) if ago >= 0.0 else None
                 self._claims.ended(self._now(), owner, epoch, id_, ran)
@@ -145,24 +161,45 @@
                 self._claims.released(owner, epoch)
                 self._let_in()
 
+    def _answer(self, tokens: set[bytes]) -> None:
+        """Tokens are claimed that this courier may have, too: its own go first where they are in force.
+
+        Guards against a message that was handed in here before anybody knew that its first courier is
+        silent: it may be out, or have run, and the one that is taken over must not run beside it, nor after
+        its window.
+        """
+        for mark in tokens & self._lately.keys():
+            at, zone = self._lately[mark]
+            self._say_to_all(_Ran(mark, max(0.0, self._daemon.clock.lasting() - at), zone))
+        mine = [entry for entry in self._daemon.journal.entries if entry.number not in self._free
+                and entry.number not in self._claimed and entry.origin is None
+                and tokens & set(self._marks(entry))]
+        if mine:
+            self._claim_as(FIRST + self._me, 1, mine)
+
+    def _marks(self, entry: Entry) -> tuple[bytes, ...]:
+        cls = self._daemon.classes.get(entry.cls)
+        harmless = cls is not None and cls.effect is api.Effect.REPEATABLE
+        return marks(entry.cls, entry.key if cls is None or cls.ordered else None,
+                     "" if harmless else entry.token)
+
     def _claims_of(self, entries: Iterable[Entry]) -> list[tuple[str, list[bytes], float]]:
         """Claims of messages whose repeats are not harmless, or whose keys keep their order."""
         found, unix = [], self._daemon.clock.lasting()
         for entry in entries:
-            cls = self._daemon.classes.get(entry.cls)
-            harmless = cls is not None and cls.effect is api.Effect.REPEATABLE
-            its = marks(entry.cls, entry.key if cls is None or cls.ordered else None,
-                        "" if harmless else entry.token)
+            its = self._marks(entry)
             if its and not entry.resend:
                 found.append((entry.id, list(its), max(0.0, entry.deadline - unix)))
         return found
 
     def claim(self, owner: str, epoch: int, entries: Iterable[Entry]) -> None:
         """Claim messages that are in force here from now on, to all."""
-        rows = list(entries)
-        self._claimed |= {entry.number: (owner, epoch) for entry in rows}
         self._spoken.pop(owner, None)
-        found = self._claims_of(rows)
+        self._claim_as(owner, epoch, list(entries))
+
+    def _claim_as(self, owner: str, epoch: int, entries: list[Entry]) -> None:
+        self._claimed |= {entry.number: (owner, epoch) for entry in entries}
+        found = self._claims_of(entries)
         for at in range(0, max(1, len(found)), ROWS):
             self._say_to_all(_Claims(owner, epoch, found[at:at + ROWS]))
 
@@ -183,8 +220,14 @@
     def ended(self, entry: Entry) -> None:
         """A message is over: whoever waits for it hears so, and when it may have run."""
         found = self._claimed.pop(entry.number, None)
+        ran = entry.ran_at if entry.ran_at is not None else entry.out_at
+        if ran is not None:
+            for mark in self._marks(entry):
+                if mark[:1] == TOKEN:
+                    self._lately[mark] = ran, entry.ran_zone or entry.out_zone
+            while len(self._lately) > MOST_RAN:
+                del self._lately[next(iter(self._lately))]
         if found is not None:
-            ran = entry.ran_at if entry.ran_at is not None else entry.out_at
             ago = -1.0 if ran is None else max(0.0, self._daemon.clock.lasting() - ran)
             self._say_to_all(_Over(*found, entry.id, ago, entry.ran_zone or entry.out_zone))
 
--- a/winchspan/copies/claims.py
+++ b/winchspan/copies/claims.py
@@ -21,6 +21,7 @@
 MOST = 20_000             # claims in all, far more than a fleet's couriers hold; more are not taken
 MOST_RAN = 4_096          # tokens whose run is remembered
 REMEMBER = 60_000.0       # ms for which it is: six times the longest window that a partner's repeat may have
+KEY, TOKEN = b"k", b"t"   # what a mark begins with
 AFTER = 300.0             # ms after its time by which a message's end has been told (PROTOCOL, the rules)
 
 
@@ -32,9 +33,9 @@
         key: in a class that keeps its order.
         token: its idempotency key, in a class whose repeats are not harmless.
     """
-    found = [] if key is None else [b"k" + key.to_bytes(8, "little", signed=True)]
+    found = [] if key is None else [KEY + key.to_bytes(8, "little", signed=True)]
     if token:
-        found.append(b"t" + blake2b(f"{cls}\n{token}".encode(), digest_size=8).digest())
+        found.append(TOKEN + blake2b(f"{cls}\n{token}".encode(), digest_size=8).digest())
     return tuple(found)
 
 
@@ -131,13 +132,18 @@
             return
         for other in list(self._books):                # it may have been taken over more than once
             for mark in self._drop(other, id_):
-                if mark[:1] == b"t" and ran is not None:
-                    at = now - max(0.0, ran.ago)
-                    self._ran[mark] = min(self._ran.get(mark, (at, ran.zone)), (at, ran.zone))
+                if ran is not None:
+                    self.has_run(now, mark, ran)
             if not self._books[other].open:
                 del self._books[other]
-        while len(self._ran) > MOST_RAN:
-            del self._ran[next(iter(self._ran))]
+
+    def has_run(self, now: float, mark: bytes, ran: Ran) -> None:
+        """A message with a token may have run somewhere."""
+        if mark[:1] == TOKEN:
+            found = now - max(0.0, ran.ago), ran.zone
+            self._ran[mark] = min(self._ran.get(mark, found), found)
+            while len(self._ran) > MOST_RAN:
+                del self._ran[next(iter(self._ran))]
 
     def released(self, owner: str, epoch: int) -> None:
         """The courier speaks for its work itself, under the epoch that it had: nobody else claims it."""
--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -180,6 +180,10 @@
         """Answer no message at some endpoints until `let_go`."""
         self._held = set(names)
 
+    def idle(self) -> bool:
+        """Whether no call is out here that is held or takes time."""
+        return not +self._out
+
     def let_go(self) -> None:
         """Answer all."""
         self._held = set()
