--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -127,7 +127,7 @@
         fleet.cut("n1", name)
     partner.let_go()
     wait_for("it is delivered", lambda: partner.ids[id_] == 1)
-    fleet.act("lose", "n1")                            # what its ways still hold stays there: it was never sent
+    fleet.act("lose", "n1")                            # what its ways still hold stays there
     wait_for("another has told its end", lambda: partner.noticed[id_] > 0)
     assert partner.ids[id_] == 1 and partner.first_end[id_] == "delivery"
 
