--- a/winchspan/standins/probed.py
+++ b/winchspan/standins/probed.py
@@ -10,7 +10,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -180,9 +180,9 @@
         """Answer no message at some endpoints until `let_go`."""
         self._held = set(names)
 
-    def idle(self) -> bool:
-        """Whether no call is out here that is held or takes time."""
-        return not +self._out
+    def idle(self, ids: Iterable[str]) -> bool:
+        """Whether no call of these messages is out here that is held or takes time."""
+        return all(self._out[id_] <= 0 for id_ in ids)
 
     def let_go(self) -> None:
         """Answer all."""
