Leave a courier still that is being handed over when its first list comes

A hand-over that begins within 100 ms of a start stops the courier; the wait for discovery's first words would have let it go on in the middle. Read, not seen. Tests of upgrades, parts and whole processes pass.

--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -237,7 +237,8 @@
             if self._watch.answering and not answered:
                 answered = now
             if self._watch.heard or now >= begun + FIRST_LIST or 0.0 < answered <= now - FIRST_LINE:
-                self.courier.suspend(False)
+                if not any(part.held for part in self._parts):     # a hand-over resumes what it has stopped
+                    self.courier.suspend(False)
             else:
                 self.deadlines.after(LOOK_AGAIN, look)
         look()
