Withdraw half-written probes too, and tell as delivered only what was in force

Only a courier with copies withdrew what was half written under a lease that is over: the council calls whoever acts now, the prober among them. Messages that were entered for a takeover which was let go of, and the second of an id, were remembered as delivered here; who goes on with them would have looked at their origin, so no harm is known.

--- a/winchspan/copying.py
+++ b/winchspan/copying.py
@@ -116,6 +116,7 @@
         self._mine_at = 0.0                   # when the work last was this courier's
         self._hands_over_by = 0.0             # it is being handed over, with what is out given up by then
         self._handed = False
+        self._undoes = False                  # what ends now was never in force here: it is no delivery
         self._asked_at, self._recovered, self._flushing, self._closed = 0.0, False, False, False
         self.counts = {"taken_over": 0, "messages_taken_over": 0, "may_have_run": 0, "lost_work": 0,
                        "took_ms": 0, "refused": 0, "given_up": 0, "heard_delivered": 0, "handed_over": 0}
@@ -138,7 +139,7 @@
         self._council.on_met(self._met)
         self._daemon.courier.suspend(True)
         self._daemon.hooks.may = self._daemon.notices.may = self._mine
-        self._daemon.system.lookout.first = self._before_reading
+        self._council.before_reading(self._before_reading)
         self._council.wish = self._wish
         self._council.on_lost(self._lost)
         self._council.on_agreed(self._look_soon)
@@ -148,7 +149,6 @@
         """Copy no more."""
         self._closed = True
         self._daemon.journal.on_written = self._daemon.journal.on_end = None
-        self._daemon.system.lookout.first = None
         self._library.close()
 
     def figures(self) -> dict[str, int]:
@@ -213,12 +213,8 @@
         return self._stream is not None and self._council.may(self._duty) == self._stream.epoch
 
     def _before_reading(self) -> None:
-        """Right after the loop has waited: nothing half written goes on under a lease that is over.
-
-        Guards against a process that was stopped in the middle of a call: on waking, its loop would write the
-        rest before any of its timers is looked at.
-        """
-        if self._daemon.links.unwritten and not self._mine():
+        """Nothing half written goes on under a lease that is over."""
+        if not self._mine():
             self._daemon.links.recall_unwritten()
 
     def _covered(self) -> bool:
@@ -358,7 +354,8 @@
     # ---- deliveries that nobody else knows of -----------------------------------------------------------
     def _ended(self, entry: Entry) -> None:
         """A message is over: whoever waits for it hears so, and when it may have run."""
-        if self._stream is not None and entry.notice is None and entry.out_at is not None:
+        delivered = entry.notice is None and entry.out_at is not None and not self._undoes
+        if self._stream is not None and delivered:
             self._late.append((self._stream.written + 1, entry.id))
         self._claiming.ended(entry)
 
@@ -506,7 +503,14 @@
         """This courier lets go of a duty: work that it has not wholly taken over is not its own."""
         adoption = self._adopting.pop(duty.removeprefix(WORK), None)
         if adoption is not None:
-            self._daemon.journal.ended([entry.number for entry in adoption.entries])
+            self._undo(adoption)
+
+    def _undo(self, adoption: Adoption) -> None:
+        """Let go of what was entered and is not in force."""
+        self._undoes = True
+        self._daemon.journal.ended([entry.number for entry in adoption.entries])
+        self._undoes = False
+        adoption.entries.clear()
 
     def _adopt_on(self, now: float) -> None:
         """Go on with the work of others that is this courier's to take over, a step at a time."""
@@ -548,8 +552,7 @@
                 number = self._daemon.journal.adopt(entry, owner, adoption.epoch)
                 if number is None:
                     logger.error("copies: there is no room for the work of {}", owner)
-                    self._daemon.journal.ended([e.number for e in adoption.entries])
-                    adoption.entries.clear()
+                    self._undo(adoption)
                     return
                 adoption.entries.append(entry)
             book = self._library.book(owner)
@@ -575,7 +578,9 @@
         self.counts["may_have_run"] += may
         self._claiming.claim(owner, adoption.epoch, adoption.entries)
         known = [entry for entry in adoption.entries if self._told.get(entry.id) == owner]
+        self._undoes = True                            # of an id that is here already, the second
         self._daemon.courier.adopt(adoption.entries)
+        self._undoes = False
         self.counts["heard_delivered"] += self._daemon.courier.heard_delivered(
             owner, [entry.id for entry in known])
 
--- a/winchspan/council.py
+++ b/winchspan/council.py
@@ -119,6 +119,7 @@
         self._agreed: list[Callable[[], None]] = []
         self.wish: Callable[[str, Mapping[str, int], Ledger], str] | None = None
         self._met: list[Callable[[str], None]] = []
+        self._first: list[Callable[[], None]] = []
         self._timer: Deadline | None = None
         self._streams = FleetStreams(self._name, members, secret, self._got, self._connected,
                                      lambda ms, call: daemon.deadlines.after(ms, call),
@@ -189,6 +190,19 @@
         """Call with a member to which there is a connection again."""
         self._met.append(call)
 
+    def before_reading(self, call: Callable[[], None]) -> None:
+        """Call right after the loop has waited, before anything that it found is read or written.
+
+        Guards against a process that was stopped in the middle of a call: on waking, its loop would write the
+        rest before any of its timers is looked at.
+        """
+        self._first.append(call)
+        self._daemon.system.lookout.first = self._look_first
+
+    def _look_first(self) -> None:
+        for call in self._first if self._daemon.links.unwritten else ():
+            call()
+
     def on_agreed(self, call: Callable[[], None]) -> None:
         """Call whenever something has been agreed."""
         self._agreed.append(call)
@@ -230,6 +244,7 @@
     def close(self) -> None:
         """Leave the seat."""
         self._closed = True
+        self._daemon.system.lookout.first = None
         self._streams.close()
         self._store.close()
 
--- a/winchspan/probing.py
+++ b/winchspan/probing.py
@@ -135,6 +135,7 @@
         if self._share:
             self._daemon.hooks.bar = lambda dest: self._waits.left(self._now(), dest)
         self._council.on_lost(self._lost)
+        self._council.before_reading(self._before_reading)
         if self._every:
             self._look()
 
@@ -326,6 +327,12 @@
         else:
             self._probes.undone(what.name, what.turn, what.epoch)
 
+    def _before_reading(self) -> None:
+        """No probe that is half written goes on under a lease that is over."""
+        for duty, call in list(self._calls.values()):
+            if not self._council.may(duty):
+                call.recall()
+
     def _lost(self, duty: str) -> None:
         """This courier lets go of a duty: what has not wholly gone out is taken back first."""
         self._read.pop(duty, None)
