Let no call outlast the time of a message in it until that is lost

Ruled out: answers that stopped short (391 of 391 bytes), another call's answer (ids), a call past its X-Deadline, a link that broke (it took the next call at once). Change: a call waits at most 250 ms past the time of any message in it; 300 ms after it that one is lost by the protocol.

--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -215,6 +215,19 @@
     assert len(world.out.sent) == 1 and world.courier.held == 0
 
 
+def test_a_call_ends_before_any_message_in_it_is_lost_however_long_the_others_would_wait(tmp_path: Path):
+    """An answer that came 300 ms after the time of one message was not counted for the others of its call."""
+    world = World(tmp_path, kind="batch")
+    world.courier.take("brief", "safe", None, 1, 1_000.0, "", b"")
+    world.courier.take("other", "safe", None, 1, 20_000.0, "", b"")
+    began = world.clock.now()
+    world.run()
+    assert len(world.out.sent) == 1
+    assert began + 1_000.0 < world.out.sent[0].until < began + 1_300.0
+    world.put("alone", left=20_000.0)
+    assert world.out.sent[1].until > began + 1_300.0
+
+
 def test_a_message_given_up_is_told_at_once_with_the_time_to_come_back(tmp_path: Path):
     world = World(tmp_path, max_attempts=1)
     world.put("a")
--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -192,6 +192,7 @@
 
 RESEND_ROOM = 0.5         # of the messages that may be held, from which nothing is sent again
 CATCH_UP = 50.0           # ms between two tries to write what the journal could not
+LAST_WORD = 250.0         # ms that a call may outlast the time of a message in it: at 300 that is lost
 LONGEST = 2.0             # times a class's own deadline that a message may ask for
 NO_QUERY = -1             # a handle that no query has
 MAY_HAVE_RUN = {api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED}
@@ -719,8 +720,10 @@
                 self._soon(lambda e=execution, v=unsent: self._returned(e, v))   # type: ignore[misc]
                 continue
             # The longest patience of the members: a shorter one is short by its deadline, at which the module
-            # ends the message itself.
+            # ends the message itself. But no answer is waited for that would come when one of them is lost:
+            # what comes then is not counted for the others either (docs/questions.md).
             until = max(min(to_ms(send.until_ns), query.deadline) for query, send in part)
+            until = min(until, min(query.deadline for query, _ in part) + LAST_WORD)
             limits = [to_ms(send.begin_by_ns) for _, send in part if send.begin_by_ns]
             parcels = [Parcel(query.id, query.token, query.body) for query, _ in part]
             begin_by = min(limits, default=None)
