End client links in order, and hear a silent watch before its news are due

A watch silent from its first byte behind one that fell silent came to 6.4 s; a notice lost on a silent connection was repeated 500 ms later, 300 are allowed; an indented list was read line by line. Change: the sending side is shut first and what comes is thrown away (300 ms at most), links with unread bytes are not taken for idle, part of a request is told -BUSY; what had no answer wholly taken by the system is withdrawn, and no more; first words of a watch within 1 s; notices again after 100 ms; objects over several lines. The auditor takes -BUSY like -ERR for a request that has begun.

--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -118,7 +118,7 @@
                                     links.retire_oldest, words, lookout, self.copies)
         self._done = asyncio.Event()
         self._refused = ""        # why this life must not go on
-        self._serving = False
+        self._serving = self._given = False
 
     def _most(self, settings: api.Settings) -> int:
         """How many client links there may be; the rest is for server links."""
@@ -144,6 +144,7 @@
     def given(self) -> None:
         """Another process is the courier now."""
         self.system.unlock()
+        self._given = True
         self._done.set()
 
     def operations(self) -> Operations:
@@ -215,6 +216,8 @@
         logger.info("{} listens on {}", self.config.name, self.config.listen)
         self._serving = True
         await self._done.wait()
+        if not self._given:               # else they are another process's
+            await self._clients.end()
         for part in self._parts:
             part.close()
         self.journal.close()
--- a/winchspan/emulator/auditor.py
+++ b/winchspan/emulator/auditor.py
@@ -128,8 +128,8 @@
         for reply in self._replies.take(data):
             if self._rude:
                 return
-            if not self._waiting and reply.startswith("-ERR") and self._requests.begun:
-                return                # it has not come whole in time, and the link is closed
+            if not self._waiting and reply.startswith(("-ERR", "-BUSY")) and self._requests.begun:
+                return                # it has not come whole in time, or by the end, and the link is closed
             if not self._waiting:
                 self._audit.breach("answer", "", ns, f"an answer to nothing: {reply:.60}")
                 return
--- a/winchspan/journal.py
+++ b/winchspan/journal.py
@@ -354,6 +354,8 @@
         return self.catch_up() and self._put(data)
 
     def _put(self, data: bytes) -> bool:
+        if self._fd < 0:                  # closed: what still comes is found again as it was left
+            return False
         tight = self._size + self._live + 2 * len(data) > self._limit * _FIT
         if tight or self._size > 2 * self._live + _GARBAGE:
             self._rewrite()
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -37,6 +37,8 @@
 IDLE_PART = 8             # of the links that may be open, one part in so many may be idle
 PATIENCE = 400.0          # a client waits so long for an answer, and then closes its connection
 MUTE = 300.0              # a client that has said nothing for so long makes room for others
+LAST = 150.0              # ms at the very end, for links to be ended by their clients
+LINGER = 300.0            # after its sending side is shut, for what is still on its way from its client
 
 
 class Intake(Protocol):
@@ -106,6 +108,7 @@
         self._waits = -1                  # the handle of what is to be
         self._unsecured = False           # what was taken is to be held elsewhere before its answer goes
         self._later = False               # whole requests wait for their turn, or for a penance to end
+        self._shut: float | None = None   # since when nothing is answered any more: what comes is thrown away
         self._since = links.now()         # when it came, was last answered, or its open request began
         self._came = 0.0                  # after when what was last read had come
         self._unread, self._look = 0.0, 0     # until when it was not read, and at which look it was again
@@ -128,7 +131,7 @@
     def still(self) -> bool:
         """Whether it can be handed over: all its answers have reached the system."""
         return (self._transport is not None and not self._transport.is_closing() and not self._unsent
-                and not self._transport.get_write_buffer_size())
+                and self._shut is None and not self._transport.get_write_buffer_size())
 
     def hold(self, still: bool) -> None:
         """Read nothing, or read on."""
@@ -178,6 +181,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Answer what has come whole."""
+        if self._shut is not None:        # its client sends it once more, on a new connection
+            self._buffer.start = self._buffer.end
+            return
         if not len(self._buffer):
             self._since = self._links.now()
         self._came = self._links.lookout.came(self._unread, self._look)
@@ -189,7 +195,7 @@
 
     def _read_on(self) -> None:
         """Read from the client unless something waits."""
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing() or self._shut is not None:
             return
         if self._stuck or self._later:
             if self._transport.is_reading():
@@ -210,7 +216,7 @@
     def _serve(self) -> None:
         """Answer some requests; the rest of a flood waits until others have had their turn."""
         buffer, transport = self._buffer, self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self._shut is not None:
             return
         age = max(0.0, self._links.now() - self._came)
         if age >= PATIENCE and self._left():
@@ -218,11 +224,15 @@
             return
         answers: list[bytes] = []
         taken: list[int] = []
-        faults, broken, requests = self.faults, False, 0
+        ends: list[int] = []          # of what was taken, where its answer ends
+        faults, broken, requests, size = self.faults, False, 0, 0
         try:
             while requests < AT_ONCE and (found := self._parser.next(buffer.data, buffer.start, buffer.end)):
                 words, buffer.start = found
-                answers.extend(self._answer(words, taken, age))
+                pieces = self._answer(words, taken, age)
+                answers.extend(pieces)
+                size += sum(map(len, pieces))
+                ends.extend([size] * (len(taken) - len(ends)))
                 requests += 1
                 if self._unsecured:
                     break
@@ -235,12 +245,12 @@
             return
         if answers:
             self._answered, self._since, self.used = True, self._links.now(), self._links.used()
-            self._unsent.extend(taken)
             transport.writelines(answers)
-            if not transport.get_write_buffer_size():
-                self._unsent.clear()
+            # Of the answers whose last byte the system has not taken, nobody has heard: none, if it was lost.
+            gone = 0 if transport.is_closing() else size - transport.get_write_buffer_size()
+            self._unsent.extend(handle for handle, end in zip(taken, ends, strict=True) if end > gone)
         if broken or self.faults >= FAULTS or (self._links.closing and not len(buffer)):
-            transport.close()
+            self.close()
         elif self.faults > faults or requests == AT_ONCE:
             self._later = True
             self._read_on()
@@ -276,7 +286,7 @@
         if not self._unsecured or handle != self._waits:
             return
         self._unsecured, transport = False, self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self._shut is not None:
             return
         self._since = self._links.now()
         transport.writelines((answer,))
@@ -293,9 +303,7 @@
         sock = self._transport.get_extra_info("socket") if self._transport is not None else None
         if sock is None:
             return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return _polled(sock, select.POLLRDHUP)
 
     def _answer(self, words: list[bytes], taken: list[int], age: float) -> tuple[bytes, ...]:
         """Carry out one request, written `age` ms ago at most."""
@@ -321,12 +329,12 @@
 
     def may_close(self, fresh: bool) -> bool:
         """Whether no part of a request has come; a link that has had none at all counts only if `fresh`."""
-        idle = self._transport is not None and not len(self._buffer) and not self._parser.begun
+        idle = self._transport is not None and not self.begun and not self._later and self._shut is None
         return idle and (self._answered or fresh)
 
     def mute(self, now: float) -> bool:
         """Whether its client has sent no whole request for longer than one takes to come."""
-        return now - self._since > MUTE and (self.begun or not self._answered)
+        return now - self._since > MUTE and (self.begun or not self._answered) and self._shut is None
 
     @property
     def begun(self) -> bool:
@@ -344,27 +352,75 @@
         Guards against clients that hold a descriptor and ask for nothing, send half a request, or never read.
         """
         age = now - self._since
-        if self._transport is None or self._later:
+        if self._transport is None:
+            return
+        if self._shut is not None:
+            if now - self._shut >= (READ_WITHIN if self._stuck else LINGER):
+                self._transport.abort()
+        elif self._later:
             return
-        if self._stuck or self._transport.is_closing():
+        elif self._stuck or self._transport.is_closing():
             if age >= READ_WITHIN:
                 self._transport.abort()
         elif self.begun and age >= WHOLE_WITHIN:
-            self._transport.write(resp.error("ERR Protocol error: the request did not come whole"))
-            self._transport.close()
-        elif age >= (IDLE if not self._links.drained else MUTE):
-            self._transport.close()
+            self.close(resp.error("ERR Protocol error: the request did not come whole"))
+        elif age >= (IDLE if not self._links.drained else MUTE) and not self.unread:
+            self.close()
 
     def abort(self) -> None:
         """Close at once."""
         if self._transport is not None:
             self._transport.abort()
 
-    def close(self) -> None:
-        """Close once all answers have left."""
-        if self._transport is not None:
+    @property
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: a request will be answered."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        return sock is not None and _polled(sock, select.POLLIN)
+
+    @property
+    def shut(self) -> bool:
+        """Whether it answers nothing any more."""
+        return self._shut is not None
+
+    def make_room(self) -> None:
+        """End it for others that wait: at once if nothing of a request has come, for it rests then."""
+        if self.begun:
+            self.close(resp.error("BUSY"))
+        elif self._transport is not None and not self.unread:
             self._transport.close()
 
+    def close(self, answer: bytes = b"") -> None:
+        """End it once all answers have left, a last one among them; its client ends it then, or LINGER does.
+
+        Only the sending side is shut at first, and what still comes is read and thrown away. Guards against a
+        request that crosses with the end: a close over unread bytes resets the connection, and the reset
+        may overtake answers that its client has not read. None of it may be taken on: nobody would hear.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._shut is not None:
+            return
+        if answer:
+            transport.write(answer)
+        if not transport.can_write_eof():
+            transport.close()
+            return
+        self._shut = self._links.now()
+        self._buffer.start = self._buffer.end
+        try:
+            transport.write_eof()
+        except OSError:                   # it has been reset, and the loop has not seen that yet
+            transport.abort()
+        else:
+            transport.resume_reading()
+
+
+def _polled(sock: socket.socket, what: int) -> bool:
+    """Whether a socket is in a state, as the system has it at this moment."""
+    poll = select.poll()
+    poll.register(sock.fileno(), what)
+    return bool(poll.poll(0))
+
 
 class ClientLinks:
     """All client links, and the socket that accepts them."""
@@ -386,6 +442,7 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._socket: Listener | None = None
         self._accepting = self._held = False
+        self._ended: asyncio.Event | None = None     # set once no link is left
         self._tasks: set[asyncio.Task[object]] = set()
 
     def retune(self, most: int) -> None:
@@ -413,7 +470,8 @@
         for link in self._links:
             link.expire(now)
         for link in self._unused()[self._most_idle:]:
-            link.close()
+            if not link.unread:
+                link.close()
         self._resume()                 # those that kept others out may have become mute
         self._deadlines.after(SWEEP, self.sweep)
 
@@ -501,7 +559,7 @@
         now = self._clock.now()
         mute = sorted((link for link in self._links if link.mute(now)), key=lambda link: link.since)
         for link in mute[:AT_ONCE] or self._unused()[-1:]:
-            link.close()
+            link.make_room()
         return False
 
     def opened(self, link: ClientLink) -> None:
@@ -514,6 +572,8 @@
         if self._links.remove(link.handle) is not None:
             self._budget.open -= 1
             self._resume()
+            if self._ended is not None and not len(self._links):
+                self._ended.set()
 
     def used(self) -> int:
         """A number that grows with each request of any client."""
@@ -579,9 +639,22 @@
         """The drain is over; a stop is not."""
         self.drained, self.closing = False, self._stopping
 
+    async def end(self) -> None:
+        """End all links in order: who has sent part of a request is told that it is not taken."""
+        self.stop_listening()
+        self._ended = asyncio.Event()
+        for link in self._links:
+            link.close(resp.error("BUSY") if link.begun else b"")
+        self._deadlines.after(LAST, self._ended.set)
+        if len(self._links):
+            await self._ended.wait()
+        self.cut()
+
     def stop_listening(self) -> None:
         """Accept no more, and close those that came and asked for nothing."""
         if self._socket is not None:
+            if self._accepting:
+                self._accept()         # who has come: a listening socket that is closed resets them
             self._pause()
             self._socket.close()
             self._socket = None
@@ -589,5 +662,5 @@
 
     def _close_idle(self, fresh: bool) -> None:
         for link in self._links:
-            if link.may_close(fresh):
+            if link.may_close(fresh) and not link.unread:
                 link.close()
--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from itertools import count
@@ -17,8 +18,11 @@
 from winchspan.settings import FieldError, array, field, number, read_json, whole, word
 
 SILENCE = 3_000.0         # an empty line comes every 2 s while the watch lives
+FIRST_WORDS = 1_000.0     # its first come at once: a change has to be told within 6 s, by a third watch too
 AGAIN = 200.0             # between two watches
 _MAX_LINE = 1024 * 1024
+_BEGINS = re.compile(rb'\s*\{\s*("|$)')      # a line with which an object may begin
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 _GONE_KEPT = 1_000        # endpoints off the list that are remembered: calls to them may still be out
 _EVER_KEPT = 5_000        # names of endpoints that operators may still call by
 _FOREVER = 1e15
@@ -204,6 +208,12 @@
         return Host(mine, name, address, dest, zone, kind, listing, max(0.0, share))
 
 
+def _leaves_open(text: bytes) -> bool:
+    """Whether more brackets are opened than closed, outside strings."""
+    bare = _STRING.sub(b"", text)
+    return bare.count(b"{") + bare.count(b"[") > bare.count(b"}") + bare.count(b"]")
+
+
 class Watch:
     """Follows discovery: one long answer with a line for each change, opened again whenever it ends."""
 
@@ -212,6 +222,7 @@
         self._call: Call | None = None
         self._silent: Deadline | None = None
         self._line = bytearray()
+        self._begun = b""             # the lines so far of an object that comes on several
         self._fresh = False           # ask for the whole list: what came did not fit
         self._moved = False           # the call at hand, if any, is to the address before
         self.heard = False            # it has told something, if only that nothing is new
@@ -226,9 +237,10 @@
         self._moved = False
         since = "" if self._fresh or self._group.seq < 0 else f"&since={self._group.seq}"
         self._line.clear()
+        self._begun = b""
         pieces = http.request("GET", f"/api/targets?follow=1{since}", str(self._address))
         self._call = self._links.call(Peer(self._address), lambda: pieces, _FOREVER, self._ended, self._body)
-        self._listen()
+        self._listen(FIRST_WORDS)
 
     def move(self, address: Address) -> None:
         """Follow discovery at another address from now on, from the version held.
@@ -241,11 +253,11 @@
             if self._call is not None:
                 self._call.cancel()
 
-    def _listen(self) -> None:
-        """Expect something within the time in which an empty line must come."""
+    def _listen(self, within: float = SILENCE) -> None:
+        """Expect something within the time in which an empty line must come, or `within` some ms."""
         if self._silent is not None:
             self._silent.cancel()
-        self._silent = self._deadlines.after(SILENCE, self._quiet)
+        self._silent = self._deadlines.after(within, self._quiet)
 
     def _quiet(self) -> None:
         """Nothing has come for too long: discovery is down, or the watch is dead."""
@@ -260,12 +272,26 @@
         self._line[:] = rest
         for line in lines:
             self.heard = True
-            if line.strip():
-                self._news(line)
-        if len(self._line) > _MAX_LINE:
+            self._take(line)
+        if len(self._line) + len(self._begun) > _MAX_LINE:
             logger.warning("host group: a line of over {} bytes", _MAX_LINE)
             self._again_whole()
 
+    def _take(self, line: bytes) -> None:
+        """Take one line, or keep it while it leaves an object open: lists may come indented, over many.
+
+        A line that is empty or begins a list of its own ends what is open: that was cut.
+        """
+        if self._begun and (not line.strip() or line.startswith(b'{"seq"')):
+            logger.warning("host group: a list was cut")
+            self._again_whole()
+            return
+        if (self._begun or _BEGINS.match(line)) and _leaves_open(self._begun + line):
+            self._begun += line + b"\n"
+        elif line.strip():
+            found, self._begun = self._begun + line, b""
+            self._news(found)
+
     def _news(self, line: bytes) -> None:
         try:
             news = read_json(line)
@@ -281,6 +307,7 @@
         """What came cannot be used: begin again with the whole list."""
         self._fresh = True
         self._line.clear()
+        self._begun = b""
         if self._call is not None:
             self._call.cancel()
 
--- a/winchspan/net/notices.py
+++ b/winchspan/net/notices.py
@@ -14,7 +14,7 @@
 from winchspan.net import http
 from winchspan.net.server_link import CallEnd, Fate, Peer, ServerLinks
 
-PATIENCE = 500.0          # the answer comes at once
+PATIENCE = 100.0          # the answer comes at once; a message may be 300 ms late with its end, and no more
 AGAIN = 50.0
 MOST = 200                # notices in one request
 
--- a/winchspan/upgrade/pack.py
+++ b/winchspan/upgrade/pack.py
@@ -16,7 +16,7 @@
 
 _OURS = {"winchspan.choice", "winchspan.interface", "winchspan.courier", "winchspan.slots",
          "winchspan.config", "winchspan.net.host_group", "winchspan.net.server_link",
-         "winchspan.net.client_link", "winchspan.net.http", "winchspan.sketch"}
+         "winchspan.net.client_link", "winchspan.net.hooks", "winchspan.net.http", "winchspan.sketch"}
 _PLAIN = {("collections", "deque"), ("collections", "OrderedDict"), ("array", "array"),
           ("array", "_array_reconstructor"), ("itertools", "count"), ("random", "Random"),
           ("builtins", "set"),
