--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -102,12 +102,22 @@
             self.links.append(link)
             threading.Thread(target=self._read, args=(link,), daemon=True).start()
 
+    @staticmethod
+    def _more(link: socket.socket) -> bytes:
+        """What comes next. A read without an end would keep the system from closing what the test closes."""
+        while True:
+            try:
+                return link.recv(1 << 16)
+            except TimeoutError:
+                continue
+
     def _read(self, link: socket.socket) -> None:
         data = b""
+        link.settimeout(0.02)
         try:
             while True:
                 while b"\r\n\r\n" not in data:
-                    if not (more := link.recv(1 << 16)):
+                    if not (more := self._more(link)):
                         return
                     data += more
                 head, _, data = data.partition(b"\r\n\r\n")
@@ -116,7 +126,7 @@
                     if line.lower().startswith(b"content-length:"):
                         length = int(line.split(b":")[1])
                 while len(data) < length:
-                    if not (more := link.recv(1 << 16)):
+                    if not (more := self._more(link)):
                         return
                     data += more
                 call, data = Call(link, head.decode(), data[:length]), data[length:]
--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import struct
+import termios
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from .loopback import HOST, Loopback, Server, submit
+from .loopback import HOST, Loopback, Server, message_class, reset, submit, wait_for
 
 
 @pytest.fixture
@@ -50,3 +54,177 @@
         assert "early" not in crowded.begun()
     finally:
         crowded.close()
+
+
+def together(world: Loopback, *requests: bytes) -> None:
+    """Hand messages in so that they travel in one call."""
+    client = world.client()
+    client.send(b"".join(requests))
+    assert [client.line() for _ in requests] == [b"+OK\r\n"] * len(requests)
+
+
+def test_no_answer_is_waited_for_beyond_the_loss_of_a_message_of_its_call(world: Loopback):
+    """An endpoint that hung answered 300 ms after the time of one; the others were not counted."""
+    world.start()
+    together(world, submit("brief", left=500), submit("other"))
+    call, = world.calls(1)
+    assert sorted(call.ids) == ["brief", "other"]
+    world.ended("brief")
+    again = world.calls(2)[1]                   # its connection is given up, and the other goes again
+    assert again.ids == ["other"] and not call.link.recv(1)
+    again.answer()
+    world.take(submit("next"))
+    assert world.calls(3)[2].ids == ["next"]
+
+
+@pytest.mark.parametrize("part", [
+    b"HTTP/1.1 50", b"HTTP/1.1 500 x\r\nContent-Length: 5\r\n\r\nab", b"HTTP/1.1 200 OK\r\nContent-Le",
+    b"garbage\r\n\r\n", b"HTTP/1.1 500 x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"])
+@pytest.mark.parametrize("ends", ["reset", "closed", "silent"])
+def test_part_of_an_answer_ends_its_attempt_whatever_becomes_of_the_connection(world: Loopback, part: bytes,
+                                                                               ends: str):
+    """A first line with 200 has delivered; anything else may have run, and only what may goes again."""
+    world.start()
+    before = world.descriptors()
+    world.take(submit("once", "once"))
+    call, = world.calls(1)
+    call.write(part)
+    if ends == "reset":
+        wait_for("it is read", lambda: unread(call.link) == 0)
+        reset(call.link)
+    elif ends == "closed":
+        call.link.shutdown(socket.SHUT_WR)
+    world.take(submit("plain"))
+    assert world.calls(2)[1].ids == ["plain"]
+    world.calls(2)[1].answer()
+    if not part.startswith(b"HTTP/1.1 200"):
+        world.ended("once", "failed")
+    assert world.endpoint.begun() == ["once", "plain"] and (part.startswith(b"HTTP/1.1 200")
+                                                              == (world.agent.ended("once") is None))
+    wait_for("no descriptor is left", lambda: world.descriptors() <= before + 2)
+
+
+def unread(link: socket.socket) -> int:
+    """Bytes sent on a connection that its other side has not taken yet."""
+    return struct.unpack("i", fcntl.ioctl(link.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]
+
+
+def test_noise_behind_a_good_answer_ends_its_connection_and_no_other_message(world: Loopback):
+    world.start()
+    world.take(submit("first"))
+    call, = world.calls(1)
+    call.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    world.take(submit("second", "once"))
+    second = world.calls(2)[1]
+    assert second.ids == ["second"] and second.link is not call.link
+    second.answer(500)
+    world.ended("second", "failed")
+
+
+@pytest.mark.parametrize("how", ["closed", "reset"])
+def test_a_connection_that_its_endpoint_ends_at_rest_loses_no_message(world: Loopback, how: str):
+    """Whether the end has come before the next call or crosses with it."""
+    world.start()
+    for turn in range(8):
+        world.take(submit(f"a{turn}"))
+        call = world.calls(2 * turn + 1)[2 * turn]
+        call.answer()
+        wait_for("it is read", lambda call=call: unread(call.link) == 0)
+        if how == "closed":
+            call.link.close()
+        else:
+            reset(call.link)
+        world.take(submit(f"b{turn}"))
+        world.calls(2 * turn + 2)[2 * turn + 1].answer()
+    assert world.endpoint.begun() == [f"{x}{turn}" for turn in range(8) for x in "ab"]
+
+
+def test_a_reset_long_after_a_request_began_lets_what_may_run_once_only_fail(world: Loopback):
+    world.start()
+    world.take(submit("once", "once"))
+    call, = world.calls(1)
+    world.take(submit("plain"))
+    world.calls(2)[1].answer()
+    reset(call.link)
+    world.ended("once", "failed")
+    world.take(submit("next"))
+    world.calls(3)[2].answer()
+    assert world.endpoint.begun() == ["once", "plain", "next"]
+
+
+@pytest.mark.parametrize("cls", ["plain", "once", "keyed"])
+def test_a_kill_right_behind_the_answer_that_takes_a_message_on_loses_nothing(world: Loopback, cls: str):
+    world.start()
+    client = world.client()
+    assert client.ask(submit("taken", cls, key=5)) == b"+OK\r\n"
+    world.kill()
+    world.endpoint.on_call = lambda call: call.answer()
+    tried = len(world.endpoint.calls)
+    world.start()
+    if tried and cls == "once":
+        world.ended("taken", "failed")           # its call may have run
+    else:
+        wait_for("it is delivered", lambda: len(world.endpoint.calls) > tried)
+
+
+@pytest.mark.parametrize("cls", ["plain", "once", "keyed"])
+def test_a_call_whose_last_byte_was_out_at_a_kill_goes_again_only_if_its_class_may(world: Loopback, cls: str):
+    world.start()
+    world.take(submit("tried", cls, key=5, token="beef"))
+    call, = world.calls(1)
+    world.kill()
+    world.start()
+    if cls == "once":
+        world.ended("tried", "failed")
+        assert len(world.endpoint.calls) == 1
+    else:
+        again = world.calls(2)[1]
+        assert again.headers["idempotency-key"] == call.headers["idempotency-key"] == "beef"
+        again.answer()
+
+
+def test_a_call_that_waits_for_its_connection_at_a_kill_may_have_run_and_is_told(world: Loopback):
+    """Its start is in the journal, its first byte never was out: what may run once only is not risked."""
+    crowded = Crowded()
+    world.list_endpoint("s-1", crowded)
+    world.set(limits_connect_timeout_ns=30 * 10**9)
+    try:
+        world.start()
+        world.take(submit("once", "once"), submit("plain"))
+        wait_for("both are begun", lambda: "'plain', 1" in world.log())
+        world.kill()
+        crowded.room()
+        world.start()
+        world.ended("once", "failed")
+        assert world.calls(1, crowded)[0].ids == ["plain"]
+    finally:
+        crowded.close()
+
+
+def test_a_keyed_repeat_goes_within_its_window_of_a_second_and_never_behind_it(tmp_path: Path):
+    """Across restarts too: a repeat that comes after the window would run a second time."""
+    window = message_class("keyed", "by_key", window_ns=10**9, group="all", in_order=True)
+    for late in (False, True):
+        (tmp_path / str(late)).mkdir()
+        world = Loopback(tmp_path / str(late), request_classes=[window])
+        try:
+            world.start()
+            world.take(submit("first", "keyed", key=3))
+            began = time.monotonic()
+            call, = world.calls(1)
+            if late:
+                world.ended("first")             # no answer within its window: it is given up
+                assert len(world.endpoint.calls) == 1
+            else:
+                call.answer(500)
+                again = world.calls(2)[1]
+                assert time.monotonic() - began < 1.0
+                again.answer()
+                wait_for("its answer is read", lambda w=world: "['delivered']" in w.log())
+            world.kill()
+            world.start()
+            world.take(submit("second", "keyed", key=3))
+            wait_for("the next of the key", lambda w=world: "second" in w.endpoint.begun())
+            assert world.endpoint.begun().count("first") == (1 if late else 2)
+        finally:
+            world.close()
