Ask for the whole list until one has come, not until a change has

Seen by a new test: news that could not be read, followed by a change in the same piece, left the watch asking for changes only; what the unreadable line told, a drain perhaps, was never told.

--- a/winchspan/net/host_group.py
+++ b/winchspan/net/host_group.py
@@ -298,7 +298,8 @@
             if not isinstance(news, dict):
                 raise FieldError("a line must hold an object")
             self._group.take(news)
-            self._fresh = False
+            # Not by a change: it may stand behind news that could not be read, and those would stay untold.
+            self._fresh = self._fresh and news.get("whole") is not True
         except FieldError as err:
             logger.warning("host group: unreadable news: {}", err)
             self._again_whole()
