Send answers at once, and take back at a stop what has not gone out

Seen by new tests: client links had no TCP_NODELAY (asyncio sets it only where the socket's protocol number is TCP's, which accepted ones lack), so that an answer could be held back and go with a close; a call that waited for its connection when a stop ended counted as one that may have run, and what may run once only was given up by the next life without a call. Change: the option is set on each accepted link; at the end of a life calls that are not out are taken back and journalled so.

--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import fcntl
+import signal
 import socket
 import struct
 import termios
@@ -209,7 +210,7 @@
         world = Loopback(tmp_path / str(late), request_classes=[window])
         try:
             world.start()
-            world.take(submit("first", "keyed", key=3))
+            world.take(submit("first", "keyed", key=3, left=1_500 if late else 60_000))
             began = time.monotonic()
             call, = world.calls(1)
             if late:
@@ -228,3 +229,79 @@
             assert world.endpoint.begun().count("first") == (1 if late else 2)
         finally:
             world.close()
+
+
+def test_a_dial_that_comes_up_after_its_endpoint_drains_carries_nothing(world: Loopback):
+    crowded, other = Crowded(), Server()
+    other.on_call = lambda call: call.answer()
+    world.list_endpoint("s-1", crowded)
+    world.set(limits_connect_timeout_ns=30 * 10**9)
+    try:
+        world.start()
+        wait_for("the watch", lambda: world.agent.watches)
+        world.take(submit("moved", "once"))
+        wait_for("it is begun", lambda: "'moved', 1" in world.log())
+        watch = world.agent.watches[-1]
+        world.agent.chunk(watch, world.agent.change("s-1", health="draining"))
+        world.agent.chunk(watch, world.list_endpoint("s-2", other))
+        assert world.calls(1, other)[0].ids == ["moved"], "it has not run, and may go elsewhere"
+        crowded.room()
+        world.take(submit("next"))
+        world.calls(2, other)
+        assert not crowded.calls
+    finally:
+        crowded.close()
+        other.close()
+
+
+@pytest.mark.parametrize("cls", ["plain", "once", "keyed"])
+def test_a_call_that_waits_for_its_connection_at_a_stop_is_tried_by_the_next_life(world: Loopback, cls: str):
+    """It counted as one that may have run: what may run once only was given up without a call."""
+    crowded = Crowded()
+    world.list_endpoint("s-1", crowded)
+    world.set(limits_connect_timeout_ns=30 * 10**9)
+    try:
+        world.start()
+        world.take(submit("waits", cls, key=2))
+        wait_for("it is begun", lambda: "'waits', 1" in world.log())
+        world.signal(signal.SIGTERM)
+        assert world.end() == 0 and not crowded.calls
+        crowded.room()
+        world.start()
+        assert world.calls(1, crowded)[0].ids == ["waits"]
+    finally:
+        crowded.close()
+
+
+def test_what_a_stop_leaves_untried_is_tried_by_the_next_life(world: Loopback):
+    world.start()
+    world.take(submit("first", "keyed", key=6, token="aa"), submit("second", "keyed", key=6))
+    world.calls(1)
+    world.signal(signal.SIGTERM)
+    assert world.end() == 0                      # its call was not answered; the next had not begun
+    world.endpoint.on_call = lambda call: call.answer()
+    world.start()
+    wait_for("both are delivered", lambda: world.endpoint.begun() == ["first", "first", "second"])
+    assert world.endpoint.calls[1].headers["idempotency-key"] == "aa"
+
+
+@pytest.mark.parametrize("how", [signal.SIGTERM, signal.SIGKILL])
+def test_a_notice_that_was_not_answered_is_told_by_the_next_life(world: Loopback, how: signal.Signals):
+    usual, world.agent.on_notice = world.agent.on_notice, lambda call: None
+    world.start()
+    world.take(submit("brief", left=300))
+    world.ended("brief")
+    world.signal(how)
+    world.end()
+    world.agent.notices.clear()
+    world.agent.on_notice = usual
+    world.start()
+    world.ended("brief")
+    world.take(submit("other", left=300))
+    world.ended("other")                         # one request at a time: the one before has its answer
+    world.kill()
+    world.agent.notices.clear()
+    world.start()
+    world.take(submit("next", left=300))
+    world.ended("next")
+    assert world.agent.ended("brief") is None, "it was heard, and is owed no more"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import os
+import socket
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -496,6 +498,25 @@
     assert desk.withdrawn == []
 
 
+@pytest.mark.parametrize(("left", "withdrawn"), [(0, []), (1, [2]), (5, [2]), (6, [1, 2]), (15, [0, 1, 2])])
+def test_of_a_pipeline_only_what_has_no_whole_answer_is_withdrawn_when_its_client_goes(left: int,
+                                                                                       withdrawn: list[int]):
+    """All were: also those whose `+OK` had reached the client, who hands them in nowhere else."""
+    link, pipe, desk, _ = client(stuck=True)
+    pipe.get_write_buffer_size = lambda: left  # type: ignore[method-assign]
+    feed(link, b"".join(submit(b"m%d" % i) for i in range(3)))
+    link.connection_lost(None)
+    assert desk.withdrawn == withdrawn
+
+
+def test_what_is_answered_on_a_connection_that_is_lost_in_the_write_is_withdrawn():
+    link, pipe, desk, _ = client()
+    pipe.writelines = lambda pieces: pipe.abort()  # type: ignore[method-assign]
+    feed(link, submit())
+    link.connection_lost(None)
+    assert desk.withdrawn == [0]
+
+
 async def listening(most: int) -> tuple[ClientLinks, int]:
     """Client links on a set clock: nobody is over time, whatever the pace of the machine."""
     links = client_links(Desk(), 50, most)[0]
@@ -536,6 +557,22 @@
     asyncio.run(wait_in_the_backlog())
 
 
+def test_small_writes_are_not_held_back():
+    """A close over unread bytes would take an answer with it that the system still holds."""
+    async def play() -> None:
+        links, port = await listening(2)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(PING)
+        assert await reader.readline() == b"+PONG\r\n"
+        link, = links._links
+        assert link._transport is not None
+        sock = link._transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        links.stop_listening()
+        writer.close()
+    asyncio.run(play())
+
+
 def test_a_courier_that_winds_down_answers_what_it_has_read_and_then_closes():
     link, pipe, desk, links = client()
     feed(link, submit()[:30])
--- a/winchspan/daemon.py
+++ b/winchspan/daemon.py
@@ -217,6 +217,9 @@
         self._serving = True
         await self._done.wait()
         if not self._given:               # else they are another process's
+            self.courier.freeze()
+            self.links.take_back()        # what has not gone out has not run, and the next life may try it
+            await asyncio.sleep(0)        # their ends are told in the next turn
             await self._clients.end()
         for part in self._parts:
             part.close()
--- a/winchspan/net/client_link.py
+++ b/winchspan/net/client_link.py
@@ -534,6 +534,8 @@
 
     async def _adopt(self, loop: asyncio.AbstractEventLoop, link: ClientLink, client: socket.socket) -> None:
         try:
+            if isinstance(client, socket.socket):     # asyncio sets it on sockets that it makes itself
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await loop.connect_accepted_socket(lambda: link, client)
         except OSError as err:
             logger.warning("client link: {}", err)
