--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -18,7 +18,17 @@
 from winchspan.courier import Busy
 from winchspan.deadlines import Deadlines
 from winchspan.net import resp
-from winchspan.net.client_link import AT_ONCE, FAULTS, IDLE, MUTE, READ_WITHIN, SWEEP, ClientLink, ClientLinks
+from winchspan.net.client_link import (
+    AT_ONCE,
+    FAULTS,
+    IDLE,
+    LINGER,
+    MUTE,
+    READ_WITHIN,
+    SWEEP,
+    ClientLink,
+    ClientLinks,
+)
 from winchspan.net.client_link import WHOLE_WITHIN as REQUEST_WITHIN
 from winchspan.net.server_link import WHOLE_WITHIN, CallEnd, Fate, Peer, ServerLink, ServerLinks, SocketBudget
 from winchspan.system import System
@@ -557,6 +567,39 @@
     asyncio.run(wait_in_the_backlog())
 
 
+class HalfPipe(Pipe):
+    """One whose sending side can be shut alone."""
+
+    eof = False
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        self.eof = True
+
+
+def test_behind_its_end_a_link_takes_nothing_and_is_let_go_of_soon():
+    desk = Desk()
+    links, clock, deadlines = client_links(desk)
+    link, pipe = ClientLink(links), HalfPipe()
+    links.opened(link)
+    link.connection_made(pipe)
+    feed(link, submit(b"first") + submit(b"part")[:40])
+    links.wind_down()
+    assert not pipe.eof, "part of a request has come"
+    link.close(resp.error("BUSY"))
+    assert pipe.eof and link.shut and not pipe.closed and pipe.written == b"+OK\r\n-BUSY\r\n"
+    feed(link, submit(b"part")[40:] + submit(b"more") * 3_000)
+    assert len(desk.taken) == 1 and pipe.written == b"+OK\r\n-BUSY\r\n"
+    pass_time(links, clock, deadlines, LINGER - 1)
+    assert not pipe.closed
+    pass_time(links, clock, deadlines, 2)
+    assert pipe.closed
+    link.connection_lost(None)
+    assert not links._links and not links._budget.open and not desk.withdrawn
+
+
 def test_small_writes_are_not_held_back():
     """A close over unread bytes would take an answer with it that the system still holds."""
     async def play() -> None:
