--- a/winchspan/courier.py
+++ b/winchspan/courier.py
@@ -109,13 +109,19 @@
     def cancel(self) -> None:
         """Stop waiting for it; its end is still told."""
 
+    def lessen(self) -> None:
+        """Some of its messages are over: those are not to go any more, if they have not yet."""
+
 
 class Carrier(Protocol):
     """Carries executions to endpoints."""
 
     def start(self, endpoint: int, parcels: list[Parcel], until: float, begin_by: float | None,
-              done: Callable[[list[Verdict]], None]) -> Cancellable:
-        """Begin a call that must be out by a time; `done` gets a verdict for each parcel, later and once."""
+              done: Callable[[list[Verdict]], None], wanted: Callable[[str], bool]) -> Cancellable:
+        """Begin a call that must be out by a time; `done` gets a verdict for each parcel, later and once.
+
+        `wanted` tells of a message, right before the call's first byte, whether it is still to go.
+        """
 
     def recall(self, endpoint: int) -> None:
         """Take back the calls to an endpoint that have not wholly gone out."""
@@ -186,6 +192,7 @@
 
 RESEND_ROOM = 0.5         # of the messages that may be held, from which nothing is sent again
 CATCH_UP = 50.0           # ms between two tries to write what the journal could not
+LAST_WORD = 250.0         # ms that a call may outlast the time of a message in it: at 300 that is lost
 LONGEST = 2.0             # times a class's own deadline that a message may ask for
 NO_QUERY = -1             # a handle that no query has
 MAY_HAVE_RUN = {api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED}
@@ -713,8 +720,10 @@
                 self._soon(lambda e=execution, v=unsent: self._returned(e, v))   # type: ignore[misc]
                 continue
             # The longest patience of the members: a shorter one is short by its deadline, at which the module
-            # ends the message itself.
+            # ends the message itself. But no answer is waited for that would come when one of them is lost:
+            # what comes then is not counted for the others either (docs/questions.md).
             until = max(min(to_ms(send.until_ns), query.deadline) for query, send in part)
+            until = min(until, min(query.deadline for query, _ in part) + LAST_WORD)
             limits = [to_ms(send.begin_by_ns) for _, send in part if send.begin_by_ns]
             parcels = [Parcel(query.id, query.token, query.body) for query, _ in part]
             begin_by = min(limits, default=None)
@@ -737,7 +746,13 @@
             self._never(execution, api.Outcome.NOT_SENT)
             return
         execution.call = self._carrier.start(execution.endpoint, parcels, until, begin_by,
-                                             lambda verdicts: self._returned(execution, verdicts))
+                                             lambda verdicts: self._returned(execution, verdicts),
+                                             self._wanted)
+
+    def _wanted(self, message: str) -> bool:
+        """Whether a message is still to be delivered."""
+        query = self._query(message)
+        return query is not None and not query.over
 
     def _never(self, execution: Execution, outcome: api.Outcome) -> None:
         """An execution that waited for its record is taken back: it has not begun."""
@@ -759,6 +774,8 @@
                 execution.call.cancel()
             elif id(execution) in self._waiting:
                 self._never(execution, api.Outcome.CANCELLED)
+        elif execution.call is not None:
+            execution.call.lessen()
 
     def _returned(self, execution: Execution, verdicts: list[Verdict]) -> None:
         """A call is back: journal each member's end, and tell the module."""
