--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -96,7 +96,8 @@
 
 def forging(patch: pytest.MonkeyPatch) -> None:
     one = hooks._one
-    patch.setattr(hooks, "_one", lambda parcel, *rest: one(replace(parcel, body=parcel.body + b"!"), *rest))
+    patch.setattr(hooks, "_one", lambda parcels, *rest: one(
+        [replace(parcel, body=parcel.body + b"!") for parcel in parcels], *rest))
 
 
 def vague(patch: pytest.MonkeyPatch) -> None:
