--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import os
+import socket
 from collections.abc import Callable
 from typing import Any
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -141,7 +143,8 @@
         idle = self.some("idle")
         until = self.clock.now() + 5_000
         limit = None if begin_by is None else self.clock.now() + begin_by
-        self.calls.append(self.pool.call(AT, [b"GET / HTTP/1.1\r\n\r\n"], until, done, begin_by=limit))
+        self.calls.append(self.pool.call(AT, lambda: [b"GET / HTTP/1.1\r\n\r\n"], until, done,
+                                         begin_by=limit))
         self.limited[number] = limit
         link = self.calls[-1].link
         assert (link in idle) == bool(idle), "a warm link is used if there is one"
@@ -495,6 +498,25 @@
     assert desk.withdrawn == []
 
 
+@pytest.mark.parametrize(("left", "withdrawn"), [(0, []), (1, [2]), (5, [2]), (6, [1, 2]), (15, [0, 1, 2])])
+def test_of_a_pipeline_only_what_has_no_whole_answer_is_withdrawn_when_its_client_goes(left: int,
+                                                                                       withdrawn: list[int]):
+    """All were: also those whose `+OK` had reached the client, who hands them in nowhere else."""
+    link, pipe, desk, _ = client(stuck=True)
+    pipe.get_write_buffer_size = lambda: left  # type: ignore[method-assign]
+    feed(link, b"".join(submit(b"m%d" % i) for i in range(3)))
+    link.connection_lost(None)
+    assert desk.withdrawn == withdrawn
+
+
+def test_what_is_answered_on_a_connection_that_is_lost_in_the_write_is_withdrawn():
+    link, pipe, desk, _ = client()
+    pipe.writelines = lambda pieces: pipe.abort()  # type: ignore[method-assign]
+    feed(link, submit())
+    link.connection_lost(None)
+    assert desk.withdrawn == [0]
+
+
 async def listening(most: int) -> tuple[ClientLinks, int]:
     """Client links on a set clock: nobody is over time, whatever the pace of the machine."""
     links = client_links(Desk(), 50, most)[0]
@@ -535,6 +557,22 @@
     asyncio.run(wait_in_the_backlog())
 
 
+def test_small_writes_are_not_held_back():
+    """A close over unread bytes would take an answer with it that the system still holds."""
+    async def play() -> None:
+        links, port = await listening(2)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(PING)
+        assert await reader.readline() == b"+PONG\r\n"
+        link, = links._links
+        assert link._transport is not None
+        sock = link._transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        links.stop_listening()
+        writer.close()
+    asyncio.run(play())
+
+
 def test_a_courier_that_winds_down_answers_what_it_has_read_and_then_closes():
     link, pipe, desk, links = client()
     feed(link, submit()[:30])
@@ -559,7 +597,7 @@
     ends: list[Fate] = []
 
     def call(peer: Peer) -> tuple[ServerLink, Pipe]:
-        link = pool.call(peer, [b"x"], clock.now() + 9_000, lambda end: ends.append(end.fate)).link
+        link = pool.call(peer, lambda: [b"x"], clock.now() + 9_000, lambda end: ends.append(end.fate)).link
         assert link is not None
         if link in loop.links:
             loop.links.remove(link)
@@ -591,7 +629,7 @@
         peer = Peer(Address("127.0.0.1", server.sockets[0].getsockname()[1]), 1)
 
         def call(name: bytes) -> None:
-            pool.call(peer, [name + b"\r\n"], clock.now() + 9_000,
+            pool.call(peer, lambda: [name + b"\r\n"], clock.now() + 9_000,
                       lambda end: ends.append(end.answer.status if end.answer else 0))
         call(b"one")
         while len(ends) < 1:
@@ -613,7 +651,8 @@
     clock, loop = SetClock(), Loop()
     deadlines, ends = Deadlines(clock), list[tuple[Fate, int]]()
     pool = ServerLinks(loop, clock, deadlines, SocketBudget(9), CONNECT, KEEPALIVE)  # type: ignore[arg-type]
-    call = pool.call(AT, [b"x"], clock.now() + 9_000, lambda end: ends.append((end.fate, end.first_line)))
+    call = pool.call(AT, lambda: [b"x"], clock.now() + 9_000,
+                     lambda end: ends.append((end.fate, end.first_line)))
     link = call.link
     assert link is not None
     link.connection_made(Pipe())
@@ -637,7 +676,7 @@
     clock, loop = SetClock(), Loop()
     pool = ServerLinks(loop, clock, Deadlines(clock), SocketBudget(9), CONNECT, KEEPALIVE)  # type: ignore[arg-type]
     ends: list[Fate] = []
-    call = pool.call(AT, [b"x"], clock.now() + 9_000, lambda end: ends.append(end.fate),
+    call = pool.call(AT, lambda: [b"x"], clock.now() + 9_000, lambda end: ends.append(end.fate),
                      begin_by=clock.now() + 300)
     assert call.link is not None
     clock.advance(300)
