Claim the ports of fake fleets by locks, so that no two runs are given the same ones

Cause: free_ports drew at random from a range that all plays share, and each pytest worker of every run on the machine had the same part of it.

Change: a process claims blocks of 500 ports by flock, which ends with the process, and hands a port out again only after all others. set_port_range and the workers' parts go.

--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -29,7 +29,6 @@
 )
 from winchspan.fakes.fleet import Fleet, ProcessFleetOptions
 from winchspan.fakes.fleet_courier import wait_for
-from winchspan.fakes.ports import PortRange, set_port_range
 from winchspan.fakes.recording_endpoints import ThreadedRecordingEndpoints
 from winchspan.fakes.sockets import HOST
 from winchspan.fakes.submission import Submission
@@ -39,11 +38,9 @@
 
 
 def one(work: tuple[int, int, int, int, bool]) -> tuple[int, FailureReport]:
-    """One run; of processes those that run at once draw their ports apart."""
+    """One run."""
     seed, members, losses, copies, real = work
     logger.remove()
-    low = 20_000 + seed % 16 * 700
-    set_port_range(PortRange(low, low + 700))
     folder = tempfile.mkdtemp()
     scenario = FailureScenario(Path(folder), members, losses, seed, copies)
     found = (run_failures_on_processes if real else simulate_failures)(scenario)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -19,6 +19,8 @@
 from pathlib import Path
 from typing import Any
 
+from winchspan.fakes.ports import free_ports
+
 ROOT = Path(__file__).parent.parent
 HOST = "127.0.0.1"
 PATIENCE = 60.0  # s
@@ -34,9 +36,7 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    return free_ports(1)[0]
 
 
 def reset(link: socket.socket) -> None:
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -19,6 +19,7 @@
 
 from examples.submit import request
 from examples.toy_server import Toy
+from winchspan.fakes.ports import free_ports
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 60.0  # far more than anything here takes: no verdict hangs on it
@@ -85,9 +86,7 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    return free_ports(1)[0]
 
 
 def ask(port: int, raw: bytes) -> bytes:
