Let a consensus leader step down when only others reach a live member

What callers saw: -BUSY for every message at a courier that was cut off from the consensus leader alone, until the cut healed; its messages were taken over after some 3 s, though it was alive and all others reached it.

Cause: leases are renewed by the leader alone and proposals go to it alone; the courier could not campaign, since its followers hear the leader (4.2.3); and the leader took a member that does not answer its heartbeats for gone.

Change: a leader that has had no contact with a live member for the length of a lease probes it directly and through others at once, with the membership's own datagrams. If only others reach it, it steps down and gives no vote for an election timeout, as its followers do; again only after a backoff that doubles. Why this works: the member that is cut off has no later log than the others, so that one that all reach is elected, before the 2.5 s of grace are over.

--- a/tests/test_consensus_raft.py
+++ b/tests/test_consensus_raft.py
@@ -181,6 +181,25 @@
     world.run_until(lambda: b"on" in leader.commands, 10_000.0)
 
 
+def test_leader_that_steps_down_lets_another_lead_and_votes_only_after_an_election_timeout():
+    """Leases rely on the timeout: for that long no vote is given beside a leader that was heard."""
+    world = elected_cluster()
+    leader = world.leader()
+    assert leader is not None and leader.raft is not None
+    world.execute(leader, leader.raft.step_down(world.clock(leader), "a member cannot reach it"))
+    assert leader.raft.role is RaftRole.FOLLOWER
+    candidate = a_follower(world).node_id
+    last = leader.raft.last_position
+    request = RequestVote(leader.raft.term + 1, last.log_index, last.term, True)
+    stepped_down_at = world.clock(leader)
+    timeout_ms = leader.raft.state.timing.election_timeout_ms
+    for after_ms, is_granted in ((0.9 * timeout_ms, False), (1.1 * timeout_ms, True)):
+        commands = leader.raft.handle_message(stepped_down_at + after_ms, candidate, request)
+        replies = [command.message for command in commands if isinstance(command, SendMessage)]
+        assert [reply.granted for reply in replies if isinstance(reply, RequestVoteReply)] == [is_granted]
+    world.run_until(lambda: world.leader() not in (None, leader), 5_000.0)
+
+
 def lose_directory(world: ConsensusWorld, node: SimulatedNode, incarnations: list[int]) -> None:
     """Remove a follower for good, or add a replacement for one that was removed."""
     leader = world.leader()
--- a/tests/test_membership_swim.py
+++ b/tests/test_membership_swim.py
@@ -371,3 +371,25 @@
     other = copy.deepcopy(swim)
     for at in (PERIOD, 2 * PERIOD, 3 * PERIOD):
         assert swim.tick(world.now + at) == other.tick(world.now + at)
+
+
+@pytest.mark.parametrize(
+    ("is_cut", "is_killed", "expected"), [(True, False, True), (False, False, False), (False, True, False)]
+)
+def test_swim_reachability_probe_tells_a_cut_link_from_a_node_that_is_gone(
+    is_cut: bool, is_killed: bool, expected: bool
+):
+    world = converged_world(4)
+    if is_cut:
+        world.cut("n0", "n1")
+        world.cut("n1", "n0")
+    if is_killed:
+        world.kill("n1")
+    observer = world.members["n0"]
+    assert observer.swim is not None
+    world.execute(observer, observer.swim.probe_reachability(world.now, {"n1"}))
+    assert not observer.swim.is_reached_by_others_only(world.now, "n1")  # its outcome is still to come
+    world.run(2 * SwimTiming().probe_timeout_ms)
+    assert observer.swim.is_reached_by_others_only(world.now, "n1") is expected
+    observer.swim.probe_reachability(world.now, set())
+    assert not observer.swim.is_reached_by_others_only(world.now, "n1")
--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -456,6 +456,23 @@
     assert_replica_is_replaced(tmp_path, at_leader=True)
 
 
+def test_consensus_leader_stays_where_a_member_is_killed_and_not_cut_off(simulated: SimulatedFleet):
+    """A change of the leader would hold up the takeover, and all leases."""
+    leader = simulated.leader()
+    killed = next(name for name in simulated.fleet.names if name != leader)
+    simulated.fleet.act("kill", killed)
+    simulated.fleet.until(
+        "another takes over its messages",
+        lambda: any(
+            simulated.replication_metric(name, "taken_over")
+            for name in simulated.fleet.names
+            if name != killed
+        ),
+    )
+    assert simulated.leader() == leader
+    simulated.assert_all_recover()
+
+
 def test_replica_with_a_full_disk_is_replaced(simulated: SimulatedFleet):
     replica, _ = simulated.replicas_of("n1")
     simulated.fleet.act("fill", replica)
--- a/winchspan/cluster/cluster_component.py
+++ b/winchspan/cluster/cluster_component.py
@@ -79,7 +79,9 @@
             from winchspan.cluster.services import ClusterServiceFactory
 
             factory = ClusterServiceFactory(node, operator, delivery)
-            ports = ConsensusPorts(delivery.journal, delivery.connections, self._live_nodes, abort)
+            ports = ConsensusPorts(
+                delivery.journal, delivery.connections, self._live_nodes, self._find_cut_off, abort
+            )
             self._services = factory.create(config, members, secret, ports)
         self._transport = DatagramTransport(members, secret, self._on_datagram)
         self._timer: Timer | None = None
@@ -240,6 +242,13 @@
             nodes[self._swim.node_name] = self._swim.process_nonce
         return nodes
 
+    def _find_cut_off(self, lost: set[str]) -> list[str]:
+        """Probe members that this one has lost contact with; return those that only others reach."""
+        now = self._node.clock.now()
+        cut_off = [name for name in sorted(lost) if self._swim.is_reached_by_others_only(now, name)]
+        self._execute(self._swim.probe_reachability(now, lost))
+        return cut_off
+
     def _on_datagram(self, datagram: Datagram) -> None:
         self._execute(self._swim.handle_datagram(self._node.clock.now(), datagram))
 
--- a/winchspan/cluster/consensus_service.py
+++ b/winchspan/cluster/consensus_service.py
@@ -29,6 +29,7 @@
 )
 from winchspan.consensus.node_state import RaftRole
 from winchspan.consensus.raft import Raft
+from winchspan.consensus.reachability import LeaderStepDown
 from winchspan.consensus.store import ConsensusStore
 from winchspan.leases.commands import journal_owner_of, journal_role
 from winchspan.leases.messages import (
@@ -76,12 +77,14 @@
         journal: this courier's; it knows under which epoch it was last written.
         connections: to endpoints; a call that is partially written may have to be recalled.
         live_nodes: returns who is alive, by name with their incarnations, this process among them.
+        find_cut_off: probes members that this one has lost contact with, and returns those that others reach.
         abort: ends the process with a reason.
     """
 
     journal: Journal
     connections: HttpConnectionPool
     live_nodes: Callable[[], dict[str, int]]
+    find_cut_off: Callable[[set[str]], list[str]]
     abort: Callable[[str], None]
 
 
@@ -134,6 +137,7 @@
         self._commit_callbacks: list[Callable[[], None]] = []
         self._is_closed = False
         self._heartbeat_count = 0
+        self._step_down = LeaderStepDown()
         self._raft_timer = RaftTimer(node, self.raft, self._on_raft_timer)
         self._plan_timer: Timer | None = None  # at the next expiry of a lease
 
@@ -327,12 +331,17 @@
         live = self._ports.live_nodes()
         self._change_voters(now, live)
         stores = {node_name(store_id): store_id for store_id in self.raft.members}
+        in_contact = {
+            name
+            for name, store_id in stores.items()
+            if self.raft.has_recent_contact(now, store_id, self.leases.lease_ms)
+        }
+        if self._gives_way(now, stores.keys() & live.keys() - in_contact):
+            return
         eligible = {
             name: incarnation
             for name, incarnation in live.items()
-            if name in stores
-            and self._clocks.is_fit(name)
-            and self.raft.has_recent_contact(now, stores[name], self.leases.lease_ms)
+            if name in in_contact and self._clocks.is_fit(name)
         }
         self.leases.plan(now, eligible, stores)
         if self._plan_timer is not None:
@@ -341,6 +350,15 @@
         if expiry_ms is not None and expiry_ms - now < HEARTBEAT_INTERVAL_MS:
             self._plan_timer = self._node.timers.call_later(expiry_ms - now, self._plan)
 
+    def _gives_way(self, now: float, lost: set[str]) -> bool:
+        """Step down if live members that have lost contact with this leader are reached by others."""
+        cut_off = self._ports.find_cut_off(lost)
+        if not cut_off or not self._step_down.is_allowed(now):
+            return False
+        self._step_down.record(now)
+        self._execute(self.raft.step_down(now, f"only others reach {', '.join(cut_off)}"))
+        return True
+
     def _change_voters(self, now: float, live: Mapping[str, int]) -> None:
         wanted = self._bootstrap.next_membership_change(self.raft.members, live)
         if wanted is None:
--- a/winchspan/consensus/election.py
+++ b/winchspan/consensus/election.py
@@ -9,6 +9,7 @@
 from winchspan.consensus.node_state import NodeState, RaftRole
 
 MAX_TIMEOUT_FACTOR: Final = 1.5  # the election timeout is drawn between one and so many times its minimum
+STEP_DOWN_TIMEOUTS: Final = 3  # election timeouts before a leader that stepped down campaigns again
 RETRY_FACTORS: Final = (0.1, 0.4)  # of the minimum timeout, until a candidate that lost a split vote retries
 
 
@@ -121,6 +122,17 @@
         self.deadline_ms = self.draw_deadline(now)
         state.set_leader("", reason)
 
+    def step_down(self, now: float, reason: str) -> None:
+        """Lead no more, and let the others elect another leader first.
+
+        Stickiness binds the former leader as it binds its followers: leases rely on no vote for another
+        within an election timeout.
+        """
+        state = self._shared_state
+        self.become_follower(now, state.term, reason)
+        self._leader_contact_at = now
+        self.deadline_ms = now + STEP_DOWN_TIMEOUTS * state.timing.election_timeout_ms
+
     def observe_leader(self, now: float, leader: str) -> None:
         """Follow the leader of the current term, which has just been heard."""
         self._shared_state.role = RaftRole.FOLLOWER
--- a/winchspan/consensus/raft.py
+++ b/winchspan/consensus/raft.py
@@ -225,6 +225,12 @@
         self.state.persist(snapshot=snapshot)
         return self.state.take_commands()
 
+    def step_down(self, now: float, reason: str) -> list[RaftCommand]:
+        """Lead no more, and let the other members elect another leader first."""
+        if self.role is RaftRole.LEADER:
+            self.election.step_down(now, reason)
+        return self.state.take_commands()
+
     def set_suspended(self, now: float, suspended: bool) -> list[RaftCommand]:
         """Suspend the node while its disk accepts no writes, or resume it; a suspended node does not lead."""
         self.state.is_suspended = suspended
--- /dev/null
+++ b/winchspan/consensus/reachability.py
@@ -0,0 +1,31 @@
+"""When a leader gives way because a live member cannot reach it, while other members can.
+
+A member that is cut off from the leader alone renews no lease and has nothing proposed. Its followers hear
+the leader, so that nobody campaigns (4.2.3), and the cut would last as long as the network needs to heal.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+FIRST_BACKOFF_MS: Final = 5_000.0  # between two times that this node gives way; doubled each time
+MAX_BACKOFF_MS: Final = 160_000.0  # where each member is cut off from another, no leader is better
+
+
+class LeaderStepDown:
+    """Decides when this node, as the leader, steps down in favour of a member that all can reach."""
+
+    def __init__(self) -> None:
+        """Start without having stepped down."""
+        self._allowed_at_ms = float("-inf")
+        self._backoff_ms = FIRST_BACKOFF_MS
+
+    def is_allowed(self, now: float) -> bool:
+        """Return whether the leader may step down now."""
+        return now >= self._allowed_at_ms
+
+    def record(self, now: float) -> None:
+        """Note that the leader steps down."""
+        is_first_in_long = now >= self._allowed_at_ms + MAX_BACKOFF_MS
+        self._backoff_ms = FIRST_BACKOFF_MS if is_first_in_long else min(2 * self._backoff_ms, MAX_BACKOFF_MS)
+        self._allowed_at_ms = now + self._backoff_ms
--- a/winchspan/fakes/membership_world.py
+++ b/winchspan/fakes/membership_world.py
@@ -123,7 +123,7 @@
         """Let a node leave gracefully; its process ends a moment later."""
         member = self.members[name]
         if member.swim is not None:
-            self._execute(member, member.swim.leave(self.now))
+            self.execute(member, member.swim.leave(self.now))
             self.call_later(LEAVE_DURATION_MS, lambda: self.kill(name))
 
     def cut(self, source: str, target: str) -> None:
@@ -202,10 +202,11 @@
             return
         self._tick_at_ms[member.name] = -1.0
         if swim.next_tick_ms <= self.now:
-            self._execute(member, swim.tick(self.now))
+            self.execute(member, swim.tick(self.now))
         self._arm_timer(member)
 
-    def _execute(self, member: SimulatedMember, actions: list[Action]) -> None:
+    def execute(self, member: SimulatedMember, actions: list[Action]) -> None:
+        """Carry out what a node's machine asks for."""
         for action in actions:
             if isinstance(action, SendDatagram):
                 self.send(member.name, action.recipient, action.datagram)
@@ -234,4 +235,4 @@
     def handle_datagram(self, member: SimulatedMember, datagram: Datagram) -> None:
         """Let a node's process, if one runs, read a datagram."""
         if member.swim is not None:
-            self._execute(member, member.swim.handle_datagram(self.now, datagram))
+            self.execute(member, member.swim.handle_datagram(self.now, datagram))
--- a/winchspan/membership/probes.py
+++ b/winchspan/membership/probes.py
@@ -100,6 +100,60 @@
         return [probe.deadline_ms for probe in self._probes.values()]
 
 
+@dataclass(slots=True)
+class ReachabilityProbe:
+    """A probe of one node by this node and by others at the same time.
+
+    Attributes:
+        sequence_number: number that its acknowledgements must carry.
+        deadline_ms: time at which all that answer have answered.
+        is_reached: whether the target has acknowledged it itself.
+        is_reached_by_others: whether another node has reached the target.
+    """
+
+    sequence_number: int
+    deadline_ms: float
+    is_reached: bool = False
+    is_reached_by_others: bool = False
+
+
+class ReachabilityProbes:
+    """The latest reachability probe of each node that is asked about."""
+
+    def __init__(self) -> None:
+        self._probes: dict[str, ReachabilityProbe] = {}
+
+    def retain(self, names: Container[str]) -> None:
+        """Forget the probes of all other nodes."""
+        self._probes = {name: probe for name, probe in self._probes.items() if name in names}
+
+    def is_due(self, now: float, target: str) -> bool:
+        """Return whether a node has no probe whose outcome is still to come."""
+        probe = self._probes.get(target)
+        return probe is None or probe.deadline_ms <= now
+
+    def add(self, target: str, probe: ReachabilityProbe) -> None:
+        """Wait for the acknowledgements of a probe."""
+        self._probes[target] = probe
+
+    def acknowledge(self, source: str, ack: Ack) -> None:
+        """Note an acknowledgement of the target, or of a node that has reached it."""
+        probe = self._probes.get(ack.target)
+        if probe is None or probe.sequence_number != ack.sequence_number:
+            return
+        if source == ack.target:
+            probe.is_reached = True
+        else:
+            probe.is_reached_by_others = True
+
+    def is_reached_by_others_only(self, now: float, target: str) -> bool:
+        """Return whether others have reached a node and this node has not, by the latest probe."""
+        probe = self._probes.get(target)
+        if probe is None or now < probe.deadline_ms:
+            return False
+        return probe.is_reached_by_others and not probe.is_reached
+
+
 class ProbeRotation:
     """Round-robin choice of targets in a random order that is drawn anew for each round (SWIM 4.3)."""
 
--- a/winchspan/membership/swim.py
+++ b/winchspan/membership/swim.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import replace
 from random import Random
 from typing import Final
@@ -43,7 +43,14 @@
     PingRequest,
 )
 from winchspan.membership.node_record import NodeRecord
-from winchspan.membership.probes import Probe, ProbeRotation, ProxyProbe, ProxyProbeTable
+from winchspan.membership.probes import (
+    Probe,
+    ProbeRotation,
+    ProxyProbe,
+    ProxyProbeTable,
+    ReachabilityProbe,
+    ReachabilityProbes,
+)
 
 # Causes for which a message is dropped; they are labels of the metric `fleet.dropped.CAUSE`.
 DROPPED_OWN_NAME: Final = "own name"
@@ -76,6 +83,7 @@
         self._rotation = ProbeRotation(self._rng)
         self._probe: Probe | None = None
         self._proxy_probes = ProxyProbeTable()
+        self._reachability_probes = ReachabilityProbes()
         self._next_period_ms = now
 
     # ---- state -------------------------------------------------------------------------------------------
@@ -194,6 +202,32 @@
         self._rotation.retain(self.records)
         return self._take_actions()
 
+    # ---- reachability ------------------------------------------------------------------------------------
+    def probe_reachability(self, now: float, targets: Container[str]) -> list[Action]:
+        """Probe some nodes directly and through others at once; all others are asked about no more."""
+        self._reachability_probes.retain(targets)
+        for target in self.active_members():
+            if target in targets and self._reachability_probes.is_due(now, target):
+                self._begin_reachability_probe(now, target)
+        return self._take_actions()
+
+    def is_reached_by_others_only(self, now: float, target: str) -> bool:
+        """Return whether others have reached a node and this node has not, by the latest probe."""
+        return self._reachability_probes.is_reached_by_others_only(now, target)
+
+    def _begin_reachability_probe(self, now: float, target: str) -> None:
+        number = self._next_sequence_number()
+        probe = ReachabilityProbe(number, now + 2 * self.timing.probe_timeout_ms)  # a helper's comes last
+        self._reachability_probes.add(target, probe)
+        self._send(target, Ping(number, target))
+        for helper in self._choose_helpers(target):
+            self._send(helper, PingRequest(number, target))
+
+    def _choose_helpers(self, target: str) -> list[str]:
+        """Return the nodes that are asked for indirect probes of a node."""
+        helpers = [name for name in self.active_members() if name != target]
+        return self._rng.sample(helpers, min(INDIRECT_PROBE_COUNT, len(helpers)))
+
     # ---- probes ------------------------------------------------------------------------------------------
     def _handle_delayed_tick(self, delay_ms: float) -> None:
         """Postpone all timeouts, for replies may lie unread, and lower the local health (Lifeguard)."""
@@ -239,8 +273,7 @@
 
     def _request_indirect_probes(self, probe: Probe) -> None:
         probe.is_indirect = True
-        helpers = [name for name in self.active_members() if name != probe.target]
-        for name in self._rng.sample(helpers, min(INDIRECT_PROBE_COUNT, len(helpers))):
+        for name in self._choose_helpers(probe.target):
             probe.silent_helpers.add(name)
             self._send(name, PingRequest(probe.sequence_number, probe.target))
 
@@ -273,6 +306,7 @@
         proxy = self._proxy_probes.acknowledge(source, ack)
         if proxy is not None:
             self._send(proxy.requester, Ack(proxy.requester_sequence_number, ack.target))
+        self._reachability_probes.acknowledge(source, ack)
         probe = self._probe
         if probe is None or probe.is_acknowledged:
             return
