Pace a slow start from the likely moment of the return, not from one's own first delivery

Cause: a sender of few calls makes its next trial seconds after the return, and began its slow start at its own first delivery, at the pace of a destination that returned in that moment.

Change: the return lies between the last failure and the first delivery; the pace grows from the middle of the two. Right in the mean over all senders; those that learn first are ahead, but few: with trials each g seconds the sum at t < g after the return is start + slope t/2 (1 + t/g) <= start + slope t. The slow start ends cold_ns after the first delivery, the latest moment; a restart in an outage counts the middle from the restart.

--- a/tests/test_scheduling_slow_start_fleet.py
+++ b/tests/test_scheduling_slow_start_fleet.py
@@ -20,6 +20,7 @@
 SLOW_START_SECONDS = 8.0  # after an outage, in which little is in time
 SERVED_OF_THE_REST = 0.85
 SERVED_AFTER_REJECTIONS = 0.5  # they also teach a rate, which rises slowly again
+LEAST_USED = 0.7  # of the budget, in the fullest window after the return
 
 
 def test_fleet_of_endpoints_under_one_capacity_stays_within_its_budget():
@@ -35,7 +36,18 @@
         assert result.in_time > 0.5 * result.offered, (day, result)
 
 
-@pytest.mark.parametrize("seed", range(24))
+# Guards against senders that keep the rule by waiting: each began its slow start at its own first delivery.
+@pytest.mark.parametrize("fault", [Fault.HANG, Fault.REFUSE, Fault.RESET, Fault.ERRORS])
+@pytest.mark.parametrize(("senders", "calls_per_s"), [(200, 0.5), (100, 0.5), (30, 2.0), (4, 10.0)])
+def test_fleet_after_an_outage_uses_its_budget_and_stays_within_it(
+    senders: int, calls_per_s: float, fault: Fault
+):
+    result = play_fleet(FleetDay(senders, calls_per_s, endpoints=3, fault=fault), seed=1)
+    assert result.broken_at_s is None, result
+    assert result.worst_load >= LEAST_USED, result
+
+
+@pytest.mark.parametrize("seed", [*range(24), 89])
 def test_drawn_fleet_stays_within_its_budget_and_serves(seed: int):
     day = draw_day(seed)
     result = play_fleet(day, seed)
--- a/winchspan/scheduling/slow_start.py
+++ b/winchspan/scheduling/slow_start.py
@@ -78,7 +78,8 @@
         delivered_sent_ns: when the latest call was sent that was delivered in time.
         failure_ratio: smoothed share of the calls that failed.
         is_outage: whether calls are trials.
-        ramp_ns: since when the slow start goes on.
+        ramp_ns: the likely moment of the return, from which the slow start's pace grows.
+        warm_ns: when the slow start is over, even if the return was at its latest possible moment.
         next_call_ns: when the next call may go, while calls are paced.
         demand: what the sender asks of the capacity.
     """
@@ -93,6 +94,7 @@
     failure_ratio: float = 0.0
     is_outage: bool = False
     ramp_ns: int | None = None
+    warm_ns: int = 0
     next_call_ns: int = 0
     demand: Demand = field(default_factory=Demand.unknown)
 
@@ -211,12 +213,11 @@
             return
         state = capacity.slow_start
         self._observe(state, now)
-        state.is_outage = False
-        state.ramp_ns = now + wait_ns
-        self._pace(capacity, state.ramp_ns, self._rng.random() / TRIAL_BUDGET)  # anywhere in the gap
+        self._set_ramp(state, now + wait_ns, now + wait_ns)
+        self._pace(capacity, now + wait_ns, self._rng.random() / TRIAL_BUDGET)  # anywhere in the gap
         reason = f"slow start after a wait of {wait_ns / SECOND:.1f} s"
         self._log(f"{capacity.name}: {reason}; {self._rate(capacity, now)}")
-        self._record(capacity, SlowStartPhase.SLOW_START, state.ramp_ns)
+        self._record(capacity, SlowStartPhase.SLOW_START, now + wait_ns)
 
     def begin(self, capacity: Capacity, absent_ns: int, now: int) -> None:
         """Begin the slow start of a capacity that had no endpoint in service for some time.
@@ -227,8 +228,7 @@
             return
         state = capacity.slow_start
         self._observe(state, now)
-        state.is_outage = False
-        state.ramp_ns = now
+        self._set_ramp(state, now, now)
         self._pace(capacity, now, self._rng.random() / TRIAL_BUDGET)
         reason = f"slow start after {absent_ns / SECOND:.1f} s without an endpoint"
         self._log(f"{capacity.name}: {reason}; {self._rate(capacity, now)}")
@@ -244,9 +244,11 @@
             state.is_outage = True
             state.kind = FailureKind.SILENT
             state.failure_count = OUTAGE_SILENCES
-            state.failing_since_ns = state.failing_until_ns = now - recovered.ago_ns
+            state.failing_since_ns = now - recovered.ago_ns
+            state.failing_until_ns = now  # nothing is known of the time since it was recorded
         else:
-            state.ramp_ns = now - recovered.ago_ns
+            returned_ns = now - recovered.ago_ns
+            self._set_ramp(state, returned_ns, returned_ns)
         begin_ns = max(now, state.ramp_ns or now)
         self._pace(capacity, begin_ns, self._rng.random())  # a restart comes anywhere in the gap
 
@@ -258,7 +260,7 @@
     def ready_ns(self, capacity: Capacity, now: int) -> int:
         """Return when the next call may go; at or before `now`: at once."""
         state = capacity.slow_start
-        if state.ramp_ns is not None and not state.is_outage and now - state.ramp_ns >= self.settings.cold_ns:
+        if state.ramp_ns is not None and not state.is_outage and now >= state.warm_ns:
             state.ramp_ns = None
             state.demand.delivered.skip_to(now)
             self._record(capacity, SlowStartPhase.HEALTHY, now)
@@ -363,17 +365,25 @@
     def _begin_ramp(self, capacity: Capacity, served_ns: int, calls: float, now: int) -> None:
         """Begin the slow start, with so many calls from `served_ns` on as the budget allows until the next.
 
-        Nobody knows when the outage ended; at the latest it is now.
+        The outage ended between the last failure and now. The middle is right in the mean over all senders,
+        and those that learn of the return first are so few that the sum keeps its budget at each moment.
         """
         state = capacity.slow_start
         evidence = self._evidence(state, now)
+        likely_return_ns = (min(state.failing_until_ns, now) + now) // 2
         self._end_suspicion(state, now)
-        state.ramp_ns = now
+        self._set_ramp(state, likely_return_ns, now)
         state.next_call_ns = 0
         self._pace(capacity, served_ns, calls)
         self._log(f"{capacity.name}: slow start after {evidence}; {self._rate(capacity, now)}")
         self._record(capacity, SlowStartPhase.SLOW_START, now)
 
+    def _set_ramp(self, state: SlowStart, likely_return_ns: int, latest_return_ns: int) -> None:
+        """Pace calls for a capacity that has returned, until it is warm."""
+        state.is_outage = False
+        state.ramp_ns = likely_return_ns
+        state.warm_ns = latest_return_ns + self.settings.cold_ns
+
     # ---- pace --------------------------------------------------------------------------------------------
     def _jitter(self) -> float:
         """Return a number of calls that is one in the mean: at random, to part the senders."""
