Leave the time without any endpoint out of the load that paces a slow start

What callers saw: a destination whose only endpoint was replaced came back at half of the pace that it bears, where no rate is listed.

Change: the observation ends where the absence begins.

--- a/tests/test_scheduling_slow_start.py
+++ b/tests/test_scheduling_slow_start.py
@@ -6,7 +6,8 @@
 from winchspan.api import EndpointStatus
 from winchspan.scheduling.scheduler import Scheduler
 
-from .helpers import SECOND, settings
+from .helpers import MS, SECOND, World, settings
+from .scheduling_traffic import deliver_calls
 
 
 def test_scheduler_endpoint_returning_cold_gets_few_attempts():
@@ -26,3 +27,21 @@
         return sum(isinstance(action, api.StartAttempt) for action in actions)
 
     assert calls(cold=False) > 5 and calls(cold=True) <= 1
+
+
+# Guards against a replaced endpoint that gets its slow start at a part of the load that it had before.
+def test_slow_start_after_an_absence_is_paced_by_the_load_before_it():
+    world = World(endpoints={1: [11]})
+    deliver_calls(world, 1, 11, count=60)
+
+    def demand_per_s() -> float:
+        (destination,) = world.sender.destinations.values()
+        return world.sender.health.slow_starts.demand_per_ns(destination.limit, world.now) * SECOND
+
+    before = demand_per_s()
+    world.list({})
+    world.do(after=8 * SECOND)
+    world.list({1: [12]})
+    world.do(after=10 * MS)
+    assert before > 1
+    assert 0.9 * before <= demand_per_s() <= 1.1 * before
--- a/winchspan/scheduling/slow_start.py
+++ b/winchspan/scheduling/slow_start.py
@@ -235,7 +235,7 @@
         if absent_ns <= self.settings.tip_after_ns // CHANCE_TIME:
             return
         state = capacity.slow_start
-        self._observe(state, now)
+        self._observe(state, now - absent_ns)  # nothing could be delivered since
         self._set_ramp(state, now, now)
         self._pace(capacity, now, self._rng.random() * FIRST_GAP)
         reason = f"slow start after {absent_ns / SECOND:.1f} s without an endpoint"
