Have the soak tell whose fault a request without an answer is, and send signals in series

Change: such a request is reported with how long it waited, on which kind of connection, and the courier's last signal; those given up are counted and printed, and break no rule.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -46,6 +46,9 @@
 RECOVERY_SECONDS = 1.5  # after a restart is ready, before an end may be called late
 READY_SECONDS = 30.0
 CROWD_IDLE_SECONDS = 2.0
+SIGNAL_SERIES_SHARE = 0.4  # of the days
+SECOND_TERM_SECONDS = 0.5  # from SIGTERM to another one
+TIMED_OUT = b"timed out"
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +62,7 @@
         kills: when couriers get SIGKILL without warning.
         reloads: when couriers get SIGHUP.
         crowd: idle clients that come to each courier.
+        has_signal_series: whether SIGHUP comes right before each SIGTERM, and another SIGTERM behind it.
     """
 
     seed: int
@@ -67,6 +71,7 @@
     kills: tuple[tuple[float, int], ...]
     reloads: tuple[tuple[float, int], ...]
     crowd: int
+    has_signal_series: bool
 
     @property
     def traffic_seconds(self) -> float:
@@ -95,7 +100,8 @@
     kills = tuple((rng.uniform(1.0, whole - 2.0), number) for number in numbers[1::2])
     reloads = tuple((rng.uniform(0.5, whole), rng.randrange(count)) for _ in range(max(2, count // 4)))
     crowd = rng.choice((0, 0, 0, 40))
-    return SoakDay(seed, fleet, terms, kills, reloads, crowd)
+    has_signal_series = rng.random() < SIGNAL_SERIES_SHARE
+    return SoakDay(seed, fleet, terms, kills, reloads, crowd, has_signal_series)
 
 
 @dataclass(slots=True)
@@ -108,6 +114,27 @@
     ended_at: float | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Unanswered:
+    """A request without a reply, and what tells whose fault that is.
+
+    Attributes:
+        message: its id.
+        courier: that it was sent to.
+        waited_seconds: from when it was written until its connection ended, or its client gave up.
+        is_on_new_connection: whether its connection was opened for it.
+        since_signal_seconds: since the courier's last signal; None: it had none.
+        signal_name: of that signal; empty: it had none.
+    """
+
+    message: str
+    courier: int
+    waited_seconds: float
+    is_on_new_connection: bool
+    since_signal_seconds: float | None
+    signal_name: str
+
+
 @dataclass(slots=True)
 class SoakAudit:
     """What was seen.
@@ -115,6 +142,7 @@
     Attributes:
         accepted: messages taken on, by id.
         unanswered: requests that were read, as far as their clients can know, and got no answer.
+        given_up: requests whose clients gave up waiting for a reply, which breaks no rule.
         twice: messages of which two attempts were in flight at once.
         late_stops: couriers that had not ended in time after SIGTERM.
         crashes: couriers that ended by themselves.
@@ -122,7 +150,8 @@
     """
 
     accepted: dict[str, Accepted] = field(default_factory=dict)
-    unanswered: list[str] = field(default_factory=list)
+    unanswered: list[Unanswered] = field(default_factory=list)
+    given_up: list[Unanswered] = field(default_factory=list)
     twice: list[str] = field(default_factory=list)
     late_stops: list[int] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
@@ -201,8 +230,17 @@
         self._audit = audit
         self._rng = random.Random(day.seed * 1_000 + number)
         self.is_killed = False  # its courier was killed: what it did not answer then is not owed
+        self._signalled_at: float | None = None
+        self._signal_name = ""
+        self._asked_at = 0.0
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
+    def note_signal(self, number: signal.Signals) -> None:
+        """Note that its courier gets a signal."""
+        self._signalled_at, self._signal_name = time.monotonic(), number.name
+        if number is signal.SIGKILL:
+            self.is_killed = True
+
     async def run(self) -> None:
         while True:
             await asyncio.sleep(self._rng.expovariate(self._day.fleet.calls_per_s))
@@ -219,15 +257,23 @@
             is_new = self._connection is None or is_repeat
             self.is_killed = False
             answer = await self._ask(request, is_new=is_new)
+            if answer == TIMED_OUT:
+                self._audit.given_up.append(self._unanswered(message, is_new=is_new))
             if answer.startswith(b"+"):
                 accepted = Accepted(self._number, class_name, due_at)
                 self._audit.accepted.setdefault(message, accepted)
             if answer or self.is_killed:
                 return
             if is_new:  # it was not crossed by the end of a resting connection
-                self._audit.unanswered.append(message)
+                self._audit.unanswered.append(self._unanswered(message, is_new=is_new))
                 return
 
+    def _unanswered(self, message: str, *, is_new: bool) -> Unanswered:
+        now, signalled_at = time.monotonic(), self._signalled_at
+        since_seconds = None if signalled_at is None else round(now - signalled_at, 3)
+        waited_seconds = round(now - self._asked_at, 3)
+        return Unanswered(message, self._number, waited_seconds, is_new, since_seconds, self._signal_name)
+
     async def _ask(self, request: bytes, *, is_new: bool) -> bytes:
         """Return the reply; empty if the connection has ended without one."""
         try:
@@ -236,11 +282,12 @@
                 self._connection = await asyncio.open_connection(HOST, self._port)
             assert self._connection is not None
             reader, writer = self._connection
+            self._asked_at = time.monotonic()
             writer.write(request)
             answer = await asyncio.wait_for(reader.readuntil(b"\r\n"), REPLY_SECONDS)
         except TimeoutError:
             self._drop()
-            return b"timed out"
+            return TIMED_OUT
         except ConnectionRefusedError:
             self._connection = None
             return b"not connected"
@@ -341,6 +388,7 @@
 
     async def _reload(self, number: int) -> None:
         if number not in self._busy:
+            self._clients[number].note_signal(signal.SIGHUP)
             self._couriers[number].signal(signal.SIGHUP)
 
     async def _kill(self, number: int) -> None:
@@ -348,7 +396,7 @@
             return
         self._busy.add(number)
         begin = time.monotonic()
-        self._clients[number].is_killed = True
+        self._clients[number].note_signal(signal.SIGKILL)
         self._couriers[number].kill()
         await self._restart(number, begin)
 
@@ -358,12 +406,19 @@
             return
         self._busy.add(number)
         courier, begin = self._couriers[number], time.monotonic()
+        if self._day.has_signal_series:
+            courier.signal(signal.SIGHUP)
+        self._clients[number].note_signal(signal.SIGTERM)
         courier.signal(signal.SIGTERM)
+        is_second_due = self._day.has_signal_series
         while time.monotonic() < begin + KILL_AFTER_SECONDS and not courier.crashed():
             await asyncio.sleep(0.01)
+            if is_second_due and time.monotonic() > begin + SECOND_TERM_SECONDS:
+                is_second_due = False
+                courier.signal(signal.SIGTERM)
         if not courier.crashed():
             self._audit.late_stops.append(number)
-        self._clients[number].is_killed = True
+        self._clients[number].note_signal(signal.SIGKILL)
         courier.kill()
         await self._restart(number, begin)
 
@@ -398,11 +453,11 @@
                 self._audit.crashes.append(f"n{number}: {courier.last_log_line()}")
 
 
-def play_day(day: SoakDay, folder: Path) -> dict[str, object]:
-    """Play a day, and return what broke a rule."""
+def play_day(day: SoakDay, folder: Path) -> SoakAudit:
+    """Play a day, and return what was seen."""
     audit = asyncio.run(SoakRun(day, folder).run())
     assert audit.accepted, "no message was taken on"
-    return audit.faults(time.monotonic())
+    return audit
 
 
 def main(first: int, last: int) -> int:
@@ -411,12 +466,15 @@
     for seed in range(first, last + 1):
         day = draw_day(seed)
         with tempfile.TemporaryDirectory() as folder:
-            faults = play_day(day, Path(folder))
+            audit = play_day(day, Path(folder))
+        faults = audit.faults(time.monotonic())
         broken += bool(faults)
         fleet = day.fleet
-        place = f"{fleet.couriers} couriers, {fleet.endpoints} endpoints, crowd {day.crowd}"
+        series = ", signals in series" if day.has_signal_series else ""
+        place = f"{fleet.couriers} couriers, {fleet.endpoints} endpoints, crowd {day.crowd}{series}"
         what = f"{fleet.outage_seconds:.1f} s in which it {fleet.fault.value}"
-        print(f"seed {seed}: {place}, {what}: {faults or 'no rule broken'}", flush=True)
+        seen = f"{len(audit.accepted)} messages, {len(audit.given_up)} replies not waited for"
+        print(f"seed {seed}: {place}, {what}: {seen}: {faults or 'no rule broken'}", flush=True)
     return broken
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import pytest
 
 from .slow_start_processes import Overload
-from .soak import Accepted, SoakAudit, draw_day, play_day
+from .soak import Accepted, SoakAudit, Unanswered, draw_day, play_day
 
 
 @pytest.mark.parametrize("seed", [1, 2, 8])
 def test_soak_day_breaks_no_rule(seed: int, tmp_path: Path):
-    assert play_day(draw_day(seed), tmp_path) == {}
+    audit = play_day(draw_day(seed), tmp_path)
+    assert audit.faults(time.monotonic()) == {}
 
 
 def test_soak_audit_names_each_broken_rule():
@@ -26,7 +28,7 @@
         "late in spite of a restart": Accepted(2, "order-payment", due_at=10.0, ended_at=13.6),
     }
     audit.down = [(2, 8.0, 12.0)]
-    audit.unanswered.append("a")
+    audit.unanswered.append(Unanswered("a", 1, 0.1, True, None, ""))
     audit.twice.append("b")
     audit.late_stops.append(3)
     audit.crashes.append("n1")
