Count the calls of real processes at an endpoint that replaces the only one

Cause: the repair of the replaced endpoint was held by a test in virtual time only.

Change: 150 courier processes whose destination loses its only endpoint for 8 s, and is listed with another one. All are told by the list, so that each call counts.

--- a/tests/slow_start_processes.py
+++ b/tests/slow_start_processes.py
@@ -33,6 +33,7 @@
 COLD_SECONDS = 14.0
 FALL_MULTIPLE = 2.0
 TIP_AFTER_SECONDS = 2.0
+HEARTBEAT_SECONDS = 2.0  # between two lines of a watch
 NUMBER_DIGITS = 4  # of a courier's number, with which the ids of its messages begin
 
 
@@ -43,6 +44,7 @@
     RESET = "breaks its connection"
     ERROR = "answers 500"
     REJECT = "answers 503"
+    REPLACED = "has no endpoint, and then another one"
 
 
 @dataclass(slots=True, frozen=True)
@@ -116,9 +118,13 @@
 
     async def open(self) -> None:
         for _ in range(self._fleet.endpoints):
-            server = await asyncio.start_server(self._serve, HOST, 0, backlog=512)
-            self._servers.append(server)
-            self.ports.append(server.sockets[0].getsockname()[1])
+            await self.open_endpoint()
+
+    async def open_endpoint(self) -> None:
+        """Open one more endpoint."""
+        server = await asyncio.start_server(self._serve, HOST, 0, backlog=512)
+        self._servers.append(server)
+        self.ports.append(server.sockets[0].getsockname()[1])
 
     def close(self) -> None:
         for server in self._servers:
@@ -166,7 +172,8 @@
         """Answer a call, or not; return whether it is delivered."""
         if self.returned_at is not None:
             after_seconds = time.monotonic() - self.returned_at
-            self.arrivals.append(Arrival(after_seconds, courier in self.told))
+            is_told = courier in self.told or self._fleet.fault is Fault.REPLACED  # by the list
+            self.arrivals.append(Arrival(after_seconds, is_told))
         if self.is_out:
             await self._fail(courier, reader, writer)
             return False
@@ -183,7 +190,7 @@
                 writer.transport.abort()
             case Fault.ERROR:
                 writer.write(b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
-            case Fault.REJECT:
+            case Fault.REJECT | Fault.REPLACED:  # a removed endpoint wants nothing new
                 writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
         self.told.add(courier)
 
@@ -194,21 +201,32 @@
     def __init__(self, destination: FaultyDestination, rate_per_s: float) -> None:
         self._server: asyncio.Server | None = None
         self.port = 0
-        hosts = [
-            {
-                "host": f"s-{number}",
-                "dial": f"{HOST}:{port}",
-                "site": "a",
-                "class": "mid-host",
-                "block": DESTINATION,
-                "health": "up",
-                "share": rate_per_s,
-                "born_ms": 0,
-            }
-            for number, port in enumerate(destination.ports)
-        ]
+        self._destination = destination
+        self._rate_per_s = rate_per_s
+        self._changes: list[bytes] = []
+        self._changed = asyncio.Event()
+        hosts = [self._host(number, "up") for number in range(len(destination.ports))]
         self.snapshot: dict[str, object] = {"seq": 1, "whole": True, "hosts": hosts}
 
+    def _host(self, number: int, health: str) -> dict[str, object]:
+        return {
+            "host": f"s-{number}",
+            "dial": f"{HOST}:{self._destination.ports[number]}",
+            "site": "a",
+            "class": "mid-host",
+            "block": DESTINATION,
+            "health": health,
+            "share": self._rate_per_s,
+            "born_ms": 0,
+        }
+
+    def tell(self, number: int, health: str) -> None:
+        """Tell all couriers that watch of a change of an endpoint: `up` or `removed`."""
+        document = {"seq": len(self._changes) + 2, "whole": False, "hosts": [self._host(number, health)]}
+        self._changes.append(json.dumps(document).encode() + b"\n")
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def open(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, 0, backlog=512)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -237,12 +255,15 @@
 
     async def _follow(self, writer: asyncio.StreamWriter) -> None:
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        line = json.dumps(self.snapshot).encode() + b"\n"
+        lines = [json.dumps(self.snapshot).encode() + b"\n", *self._changes]
         while not writer.is_closing():
-            writer.write(b"%x\r\n%s\r\n" % (len(line), line))
+            told_count = len(self._changes)
+            for line in lines or [b"\n"]:
+                writer.write(b"%x\r\n%s\r\n" % (len(line), line))
             await writer.drain()
-            line = b"\n"
-            await asyncio.sleep(2.0)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), HEARTBEAT_SECONDS)
+            lines = self._changes[told_count:]
 
 
 class Client:
@@ -320,12 +341,17 @@
         tasks = [asyncio.create_task(client.run()) for client in clients]
         await asyncio.sleep(fleet.warm_up_seconds)
         destination.begin_outage()
+        if fleet.fault is Fault.REPLACED:
+            discovery.tell(0, "removed")
         await asyncio.sleep(fleet.outage_seconds / 2)
         for courier in couriers[: fleet.restarts]:
             courier.kill()
             courier.start()
         await asyncio.sleep(fleet.outage_seconds / 2)
         destination.end_outage()
+        if fleet.fault is Fault.REPLACED:
+            await destination.open_endpoint()
+            discovery.tell(len(destination.ports) - 1, "up")
         await asyncio.sleep(fleet.watched_seconds)
         for task in tasks:
             task.cancel()
--- a/tests/test_slow_start_processes.py
+++ b/tests/test_slow_start_processes.py
@@ -21,7 +21,16 @@
 import asyncio
 from pathlib import Path
 
-from .slow_start_processes import ProcessFleet, play_process_fleet, worst_overload
+from .slow_start_processes import Fault, ProcessFleet, play_process_fleet, worst_overload
+
+
+# Guards against couriers that send what has waited to a new endpoint, when all are told of it at one moment.
+def test_replaced_endpoint_gets_no_more_than_the_budget_from_many_processes(tmp_path: Path):
+    fleet = ProcessFleet(couriers=150, endpoints=1, fault=Fault.REPLACED)
+    destination = asyncio.run(play_process_fleet(fleet, tmp_path, seed=1))
+    overload = worst_overload(fleet, destination.arrivals)
+    assert len(destination.arrivals) > overload.budget / 4, "hardly anything is sent to the new endpoint"
+    assert not overload.breaks_rule, overload
 
 
 def test_destination_returning_to_many_processes_gets_no_more_than_its_budget(tmp_path: Path):
