Answer the first request of a client that connected before listening ended

What callers saw: no answer to a request on a connection opened some 0.7 s after the courier's SIGTERM; it is lost, as a first request on a new connection is not sent again.

Cause: stop_listening, 0.7 s after SIGTERM, closed the connections that had asked for nothing yet. Their first request is on its way in that moment.

Change: those connections stay open; the process waits for their first requests for 400 ms, as long as clients wait, and closes each behind its answer. One flag less (include_unused). Why this works: nobody can connect any more, so that each newcomer asks within its patience or not at all.

A test said the contrary: test_client_listener_shutdown_answers_partial_request_and_then_closes expected a connection without a request to be closed there, beside a comment that says why it must not be. It expects an answer now, and a new test that a silent client is waited for no longer than 400 ms.

--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -75,6 +75,26 @@
     assert world.endpoint.begun() == ["begun"]
 
 
+# Guards against a client that has connected in time and whose request comes after the last one may connect.
+def test_a_first_request_behind_the_end_of_listening_is_answered(world: Loopback):
+    world.start()
+    world.signal(signal.SIGTERM)
+    wait_for("it stops", lambda: "stopping" in world.log())
+    newcomers: list[Client] = []
+
+    def is_refused() -> bool:
+        try:
+            newcomers.append(world.client())
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    wait_for("nobody may connect any more", is_refused)
+    newcomers[-1].send(submit("behind"))
+    assert newcomers[-1].line() == b"+OK\r\n" and rest(newcomers[-1]) == b""
+    assert world.end() == 0
+
+
 def test_a_request_that_never_comes_whole_is_answered_at_the_end_of_a_life(world: Loopback):
     """Its connection was cut when the process ended, with no answer."""
     world.start()
--- a/tests/test_net_client_listener.py
+++ b/tests/test_net_client_listener.py
@@ -5,9 +5,7 @@
 import asyncio
 import socket
 
-from winchspan.net.client_connection import (
-    SILENT_AFTER_MS,
-)
+from winchspan.net.client_connection import CLIENT_PATIENCE_MS, SILENT_AFTER_MS
 from winchspan.net.client_listener import SWEEP_INTERVAL_MS, ClientConnections
 from winchspan.runtime.system import System
 
@@ -137,7 +135,20 @@
     # A request that crosses with the close is sent again only on a connection that has had one before.
     assert used[1].closed and not fresh[1].closed
     connections.stop_listening()
-    assert fresh[1].closed
+    assert not fresh[1].closed and connections.is_awaiting_first_request()
+    feed(fresh[0], submit())
+    assert fresh[1].written == b"+OK\r\n" and fresh[1].closed and len(intake.taken) == 2
+
+
+def test_client_listener_shutdown_does_not_wait_for_a_silent_client():
+    connections, clock, _ = client_connections(FakeIntake())
+    _, transport = connect(connections)
+    connections.begin_shutdown()
+    connections.stop_listening()
+    clock.advance(CLIENT_PATIENCE_MS - 1.0)
+    assert connections.is_awaiting_first_request() and not transport.closed
+    clock.advance(1.0)
+    assert not connections.is_awaiting_first_request()
 
 
 def test_client_listener_drain_rejects_ping_serves_submits_and_closes_connections():
--- a/winchspan/application/shutdown.py
+++ b/winchspan/application/shutdown.py
@@ -55,7 +55,7 @@
         self._timers.call_later(END_AFTER_MS, self._end)
 
     def _end_once_idle(self) -> None:
-        if self._is_busy():
+        if self._is_busy() or self._clients.is_awaiting_first_request():
             self._timers.call_later(POLL_INTERVAL_MS, self._end_once_idle)
         else:
             self._end()
--- a/winchspan/net/client_connection.py
+++ b/winchspan/net/client_connection.py
@@ -257,11 +257,17 @@
         """When it was accepted or last answered, or its open request began."""
         return self._active_since_ms
 
-    def is_closable(self, *, include_unused: bool) -> bool:
-        """Return whether no part of a request has come; one without any request counts if asked for."""
+    def is_closable(self) -> bool:
+        """Return whether it is between two requests; before the first one its client would not ask again."""
         if self._transport is None or self.has_partial_request or self._is_resume_due:
             return False
-        return self._shut_down_at_ms is None and (self._has_answered or include_unused)
+        return self._shut_down_at_ms is None and self._has_answered
+
+    def is_awaiting_first_request(self, now_ms: float) -> bool:
+        """Return whether it has asked for nothing yet, and its client may still be about to."""
+        if self._has_answered or self._shut_down_at_ms is not None:
+            return False
+        return now_ms - self._active_since_ms < CLIENT_PATIENCE_MS
 
     def is_silent(self, now_ms: float) -> bool:
         """Return whether its client has sent no complete request for longer than one takes."""
--- a/winchspan/net/client_listener.py
+++ b/winchspan/net/client_listener.py
@@ -240,7 +240,7 @@
         Few may stay so. Guards against clients that ask once and keep their connection: those of a deployment
         may hold only so many, and idle ones of the last two seconds can be all of them.
         """
-        closable = (one for one in self._connections if one.is_closable(include_unused=False))
+        closable = (one for one in self._connections if one.is_closable())
         return sorted(closable, key=lambda one: (one.bad_request_count == 0, one.last_use), reverse=True)
 
     def _has_capacity(self) -> bool:
@@ -269,7 +269,7 @@
         """Drain: `PING` says no, and idle connections are closed; who still comes is answered."""
         self.is_out_of_service = True
         self.is_closing_idle = True
-        self._close_idle(include_unused=False)
+        self._close_idle()
 
     def end_drain(self) -> None:
         """End the drain; a shutdown goes on."""
@@ -280,17 +280,21 @@
         """Close each connection once it is idle; clients may still come."""
         self._is_stopping = True
         self.is_closing_idle = True
-        self._close_idle(include_unused=False)
+        self._close_idle()
 
     def stop_listening(self) -> None:
-        """Accept no more, and close the connections that came and asked for nothing."""
+        """Accept no more; those that have come are still answered, if they ask soon."""
         if self._listener is not None:
             if self._is_accepting:
                 self._accept()  # who has come: a listening socket that is closed resets them
             self._stop_accepting()
             self._listener.close()
             self._listener = None
-        self._close_idle(include_unused=True)
+
+    def is_awaiting_first_request(self) -> bool:
+        """Return whether a connection has just come, and its client is about to ask."""
+        now_ms = self._clock.now()
+        return any(connection.is_awaiting_first_request(now_ms) for connection in self._connections)
 
     async def close_all(self) -> None:
         """Close all connections in order: who has sent part of a request is told that it is not taken."""
@@ -303,9 +307,9 @@
             await self._all_closed.wait()
         self.abort_untransferable()
 
-    def _close_idle(self, *, include_unused: bool) -> None:
+    def _close_idle(self) -> None:
         for connection in self._connections:
-            if connection.is_closable(include_unused=include_unused) and not connection.has_unread_bytes:
+            if connection.is_closable() and not connection.has_unread_bytes:
                 connection.close()
 
     # ---- upgrade -----------------------------------------------------------------------------------------
