Let the soak's clients end though a cancellation is dropped

Cause: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, where both come in one turn; that client went on for ever, and the play waited for it (py-spy: the loop idle; sockets of a few clients still open).

Change: clients are told to stop before they are cancelled.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -234,6 +234,7 @@
         self._signalled_at: float | None = None
         self._signal_name = ""
         self._asked_at = 0.0
+        self._is_stopped = False
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     def note_signal(self, number: signal.Signals) -> None:
@@ -242,8 +243,12 @@
         if number is signal.SIGKILL:
             self.is_killed = True
 
+    def stop(self) -> None:
+        """Hand in nothing more. `asyncio.wait_for` of Python 3.11 may drop a cancellation."""
+        self._is_stopped = True
+
     async def run(self) -> None:
-        while True:
+        while not self._is_stopped:
             await asyncio.sleep(self._rng.expovariate(self._day.fleet.calls_per_s))
             await self._hand_in()
 
@@ -376,6 +381,8 @@
         self._destination.end_outage()
         await asyncio.sleep(day.fleet.watched_seconds)
         await asyncio.gather(*events)
+        for client in self._clients:
+            client.stop()
         for task in tasks:
             task.cancel()
         for result in await asyncio.gather(*tasks, return_exceptions=True):
