Heed a wait told in an answer that breaks off, and end a rejection's call with its head

What callers saw: calls within a wait that a destination had told, where its answer was reset, cut short or never ended; a message that may run once only failed, though it had been turned away.

Cause: a response counted once it was complete; the status and the wait stand in its head. Until a body that never comes is given up, 500 ms pass.

Change: a rejection (429, 503) ends its call with its head; the connection is closed if the body is not complete then.

--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -114,6 +114,24 @@
     wait_for("no descriptor is left", lambda: world.descriptors() <= before + 2)
 
 
+# Guards against calls within a wait that was told in an answer which breaks off, or never ends.
+@pytest.mark.parametrize("ends", ["reset", "closed", "silent"])
+def test_a_wait_told_in_an_answer_that_does_not_end_is_heeded(world: Loopback, ends: str):
+    world.start()
+    world.take(submit("first"))
+    (call,) = world.calls(1)
+    call.write(b"HTTP/1.1 429 x\r\nX-RateLimit-Wait-Ms: 1500\r\nContent-Length: 5\r\n\r\nab")
+    told_at = time.monotonic()
+    wait_for("it is read", lambda: unread(call.link) == 0)
+    if ends == "reset":
+        reset(call.link)
+    elif ends == "closed":
+        call.link.shutdown(socket.SHUT_WR)
+    world.take(submit("second"))
+    world.calls(2)
+    assert time.monotonic() > told_at + 1.4  # calls within 100 ms of an end of the wait are let through
+
+
 def unread(link: socket.socket) -> int:
     """Bytes sent on a connection that its other side has not taken yet."""
     return struct.unpack("i", fcntl.ioctl(link.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]
--- a/winchspan/net/attempt_transport.py
+++ b/winchspan/net/attempt_transport.py
@@ -38,7 +38,6 @@
     "gone": (api.Outcome.NOT_SENT, True),
     "exhausted": (api.Outcome.NOT_SENT, False),
 }
-_REJECTING_STATUSES: Final = (429, 503)
 _NEVER_RUN_STATUSES: Final = (410, 504)
 _LONGEST_BACKOFF_MS: Final = 1e9
 
@@ -264,9 +263,9 @@
     status = response.status
     if status == 200:
         return signals.result(api.Outcome.DELIVERED, is_final=True)
-    if status in _REJECTING_STATUSES and response.headers.get("x-over-slots") == "1":
+    if status in http.REJECTING_STATUSES and response.headers.get("x-over-slots") == "1":
         return AttemptResult(api.Outcome.NOT_SENT, no_slot=True)
-    if status in _REJECTING_STATUSES:
+    if status in http.REJECTING_STATUSES:
         return signals.result(api.Outcome.FULL)
     if status in _NEVER_RUN_STATUSES:
         return AttemptResult(api.Outcome.NOT_SENT, status == 410)
--- a/winchspan/net/http.py
+++ b/winchspan/net/http.py
@@ -10,6 +10,7 @@
 MAX_BODY = 64 * 1024  # of an answer that is kept; the protocol sends no more
 MAX_CHUNK = 4 * 1024 * 1024  # of one that is handed on as it comes
 MAX_INTERIM = 32
+REJECTING_STATUSES = (429, 503)
 _MAX_CHUNK_LINE = 1_024
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
@@ -54,6 +55,11 @@
             raise HttpProtocolError(f"no step of a response: {state['_step']!r:.40}")
         self._step = getattr(self, state["_step"])
 
+    @property
+    def is_rejection(self) -> bool:
+        """Whether its head says that the request was turned away; the body tells nothing more."""
+        return self.status in REJECTING_STATUSES
+
     def feed(self, buffer: bytearray, start: int, end: int) -> int:
         """Parse what lies in the buffer between two places and return where it stopped."""
         while not self.is_complete:
--- a/winchspan/net/http_connection.py
+++ b/winchspan/net/http_connection.py
@@ -274,7 +274,7 @@
             logger.warning("http connection to {}: {}", self.peer.address, err)
             call.abort(HttpCallOutcome.SPOILT)
             return
-        if call.parser.is_complete:
+        if call.parser.is_complete or call.parser.is_rejection:
             self._finish_response(call)
         elif not call.parser.first_line_status and not len(buffer):  # no more than an interim response
             if call.response_timer is not None:
@@ -292,10 +292,13 @@
         return False
 
     def _finish_response(self, call: HttpCall) -> None:
-        """Release the connection, or close it where it cannot be used again."""
+        """Release the connection, or close it where it cannot be used again.
+
+        A rejection ends its call with its head: the wait that it tells holds from then on.
+        """
         self.call = None
         parser = call.parser
-        is_clean = self.is_written and not len(self._buffer)
+        is_clean = self.is_written and parser.is_complete and not len(self._buffer)
         if parser.keep_alive and is_clean and not self.is_closing_after_call:
             self._pool.release(self)
         else:
