--- a/winchspan/scheduling/endpoint_health.py
+++ b/winchspan/scheduling/endpoint_health.py
@@ -75,7 +75,7 @@
         peer_count = max(1, len(_peers(destination, endpoint)))
         demand = self.slow_starts.demand_per_ns(endpoint.limit, now) / peer_count
         ramp_ns = endpoint.slow_start_ns if endpoint.suspected_ns is None else None
-        gap_ns = self.slow_starts.gap_ns(demand, ramp_ns, now)
+        gap_ns = self.slow_starts.backoff_ns(demand, ramp_ns, now)
         endpoint.next_call_ns = max(endpoint.next_call_ns, now + gap_ns)
 
     def record_success(self, endpoint: Endpoint, call: Call, latency_ns: int, now: int) -> None:
@@ -161,7 +161,7 @@
         destination.rejected_ns = rejected_ns = destination.rejected_ns or now
         message_count, limit, opens_ns = len(destination.queue) + 1, endpoint.limit, now + wait_ns
         age_ns = max(now - rejected_ns, int(endpoint.latency_ns), span_ns // MAX_TRIALS) / message_count
-        backoff_ns = self.slow_starts.gap_ns(1 / age_ns, None, now)
+        backoff_ns = self.slow_starts.backoff_ns(1 / age_ns, None, now)
         destination.next_call_ns = max(destination.next_call_ns, now + backoff_ns)
         recent = sum(1 for sent_ns in limit.recent_ns if sent_ns > now - SECOND)
         is_rate = recent * self.settings.senders > 2 or limit.learned_per_s > 0
--- a/winchspan/scheduling/slow_start.py
+++ b/winchspan/scheduling/slow_start.py
@@ -17,11 +17,10 @@
 
 from __future__ import annotations
 
-import math
 import random
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Final, NamedTuple, Protocol
+from typing import Final, Protocol
 
 from winchspan.api import (
     CallPacing,
@@ -34,14 +33,11 @@
     SlowStartRecovered,
 )
 from winchspan.scheduling.demand import Demand
+from winchspan.scheduling.recovery_budget import budget_share, cold_capacity, gap_ns, least_demand_per_ns
 
 SECOND: Final = 1_000_000_000
 BACKOFF_SHARE: Final = 0.8  # of the rate that a destination seems to take, after it has rejected a call
 FIRST_GAP: Final = 1.25  # gaps in which all senders' first calls lie, where all begin at one moment
-# Above its budget of N calls a capacity bears 2 sqrt(N) + 2 for chance, or 3 sqrt(N) + 3 where N is small.
-SMALL_BUDGET: Final = 30
-DEVIATIONS: Final = 3  # standard deviations between the mean of all senders' calls and the limit
-MIN_VARIANCE: Final = 1 / 6  # of the calls of one sender, over their mean, where it makes several in a window
 FURTHER_MESSAGE_WEIGHT: Final = 0.25  # a further message in a call weighs this much of a call, at most
 OUTAGE_FAILURES: Final = 3  # failures without a delivery between them that are no longer left to chance
 OUTAGE_SILENCES: Final = 2  # the same for calls that got nothing back at all: chance rarely does that twice
@@ -130,13 +126,6 @@
     stated_per_s: float
 
 
-class _ColdCapacity(NamedTuple):
-    """What a cold capacity can do, as a part of what it can do when it is warm."""
-
-    part: float
-    rise_per_ns: float
-
-
 class SlowStartControl:
     """Judges capacities by how calls end, and paces the calls to them.
 
@@ -400,12 +389,13 @@
     def _pace(self, capacity: Capacity, now: int, calls: float) -> None:
         """Set the time of the next call: once the sender's part of the budget allows so many calls more."""
         state = capacity.slow_start
-        cold = self._cold_capacity(None if state.is_outage else state.ramp_ns, now)
-        demand_per_ns = max(self.demand_per_ns(capacity, now), self._least_demand_per_ns())
-        share = self._budget_share(demand_per_ns, cold.part)
-        state.next_call_ns = max(state.next_call_ns, now + self._gap_ns(share * demand_per_ns, cold, calls))
+        cold = cold_capacity(self.settings, None if state.is_outage else state.ramp_ns, now)
+        demand_per_ns = max(self.demand_per_ns(capacity, now), least_demand_per_ns(self.settings))
+        share = budget_share(self.settings, demand_per_ns, cold.part)
+        pause_ns = gap_ns(self.settings, share * demand_per_ns, cold, calls)
+        state.next_call_ns = max(state.next_call_ns, now + pause_ns)
 
-    def gap_ns(self, demand_per_ns: float, ramp_ns: int | None, now: int) -> int:
+    def backoff_ns(self, demand_per_ns: float, ramp_ns: int | None, now: int) -> int:
         """Return the time to the next call at a destination that rejects calls, or to one of its endpoints.
 
         Args:
@@ -413,39 +403,8 @@
             ramp_ns: since when the slow start goes on; None: the return is still to come.
             now: the present time.
         """
-        return self._gap_ns(BACKOFF_SHARE * demand_per_ns, self._cold_capacity(ramp_ns, now), self._jitter())
-
-    def _gap_ns(self, demand_per_ns: float, cold: _ColdCapacity, calls: float) -> int:
-        """Return the time in which a cold capacity bears so many calls of a part of it."""
-        room = calls / (self.settings.fall_multiple * max(demand_per_ns, self._least_demand_per_ns()))
-        return int(2 * room / (cold.part + (cold.part * cold.part + 2 * cold.rise_per_ns * room) ** 0.5))
-
-    def _least_demand_per_ns(self) -> float:
-        return 1 / (self.settings.senders * self.settings.cold_ns)
-
-    def _cold_capacity(self, ramp_ns: int | None, now: int) -> _ColdCapacity:
-        settings = self.settings
-        if ramp_ns is None:
-            return _ColdCapacity(settings.start_capacity, 0.0)
-        rise_per_ns = (1 - settings.start_capacity) / settings.cold_ns
-        since_ns = min(max(0, now - ramp_ns), settings.cold_ns)
-        return _ColdCapacity(settings.start_capacity + rise_per_ns * since_ns, rise_per_ns)
-
-    def _budget_share(self, demand_per_ns: float, part: float) -> float:
-        """Return how many times its part of the budget a sender may use: a capacity bears more for chance.
-
-        The calls of all senders in a window have a mean of `share * budget` and a variance of that times
-        `variance`: nearly one where a sender makes few calls in a window, less where their gaps even out.
-        The share is the one at which the limit lies `DEVIATIONS` standard deviations above the mean.
-        """
-        settings = self.settings
-        own_budget = settings.fall_multiple * part * demand_per_ns * settings.tip_after_ns
-        budget = settings.senders * own_budget
-        limit = budget + (3 if budget < SMALL_BUDGET else 2) * (math.sqrt(budget) + 1)
-        variance = max(MIN_VARIANCE, 1 - own_budget)
-        chance = DEVIATIONS * math.sqrt(budget * variance)
-        root = (math.sqrt(chance * chance + 4 * budget * limit) - chance) / (2 * budget)
-        return root * root
+        cold = cold_capacity(self.settings, ramp_ns, now)
+        return gap_ns(self.settings, BACKOFF_SHARE * demand_per_ns, cold, self._jitter())
 
     # ---- log ---------------------------------------------------------------------------------------------
     def _evidence(self, state: SlowStart, now: int) -> str:
