--- a/winchspan/cluster/cluster_component.py
+++ b/winchspan/cluster/cluster_component.py
@@ -70,9 +70,7 @@
         secret = Path(values["secret-file"]).read_bytes() if values["secret-file"] else b""
         self._socket = _open_socket(node, members[node.name], values)
         self._node = node = replace(node, incarnation=node.system.random_nonce())
-        timing = SwimTiming(values["period"] * 1_000.0, values["answer"] * 1_000.0, values["suspicion"])
-        swim_config = SwimConfig(node.name, node.incarnation, node.seed, timing)
-        self._swim = Swim(swim_config, members, node.clock.now())
+        self._swim = _create_swim(node, members, values)
         self._services: ClusterServices | None = None
         if needs_consensus(values):
             from winchspan.cluster.consensus_service import ConsensusPorts
@@ -274,6 +272,12 @@
             self._timer = self._node.timers.call_at(self._swim.next_tick_ms, self._on_timer)
 
 
+def _create_swim(node: ClusterNode, members: Mapping[str, Address], values: Mapping[str, Any]) -> Swim:
+    timing = SwimTiming(values["period"] * 1_000.0, values["answer"] * 1_000.0, values["suspicion"])
+    config = SwimConfig(node.name, node.incarnation, node.seed, timing)
+    return Swim(config, members, node.clock.now())
+
+
 def _open_socket(node: ClusterNode, address: Address, values: Mapping[str, Any]) -> socket.socket:
     try:
         return node.system.open_datagram_socket(address.host, address.port)
--- a/winchspan/cluster/consensus_service.py
+++ b/winchspan/cluster/consensus_service.py
@@ -96,6 +96,18 @@
     return raft
 
 
+def _create_leases(
+    node: ClusterNode, raft: Raft, clocks: ClockChecks, options: ConsensusOptions
+) -> LeaseService:
+    timing = LeaseTiming(max_clock_drift=options.max_clock_drift)
+    return LeaseService(node, raft, clocks, options.roles, timing)
+
+
+def _members_in_contact(raft: Raft, now: float, stores: Mapping[str, str], within_ms: float) -> set[str]:
+    """Return the names of voting members that have answered this leader within a time."""
+    return {name for name, store_id in stores.items() if raft.has_recent_contact(now, store_id, within_ms)}
+
+
 class ConsensusService:
     """This courier's part in consensus, and the leases that rest on it."""
 
@@ -126,11 +138,10 @@
         self.raft = _create_raft(node, self._store)
         self._bootstrap = ClusterBootstrap(self._store.member_id, members)
         self._clocks = ClockChecks(node.name, options.max_clock_drift)
-        timing = LeaseTiming(max_clock_drift=options.max_clock_drift)
         self.bus = MessageBus(node, members, options.secret, self)
         self.announcements = self._create_announcements(options)
         self.bus.subscribe(bytes, self._on_proposal)
-        self.leases = LeaseService(node, self.raft, self._clocks, options.roles, timing)
+        self.leases = _create_leases(node, self.raft, self._clocks, options)
         self.leases.connect(LeasePorts(self._send, self._propose, self._plan))
         self.leases.table.restore(self._store.state.snapshot.data)
         self.poll_guard = PollGuard(node.system, ports.connections)
@@ -331,12 +342,11 @@
         live = self._ports.live_nodes()
         self._change_voters(now, live)
         stores = {node_name(store_id): store_id for store_id in self.raft.members}
-        in_contact = {
-            name
-            for name, store_id in stores.items()
-            if self.raft.has_recent_contact(now, store_id, self.leases.lease_ms)
-        }
-        if self._gives_way(now, stores.keys() & live.keys() - in_contact):
+        in_contact = _members_in_contact(self.raft, now, stores, self.leases.lease_ms)
+        lost = stores.keys() & live.keys() - in_contact
+        reason = self._step_down.decide(now, self._ports.find_cut_off(lost))
+        if reason:
+            self._execute(self.raft.step_down(now, reason))
             return
         eligible = {
             name: incarnation
@@ -350,15 +360,6 @@
         if expiry_ms is not None and expiry_ms - now < HEARTBEAT_INTERVAL_MS:
             self._plan_timer = self._node.timers.call_later(expiry_ms - now, self._plan)
 
-    def _gives_way(self, now: float, lost: set[str]) -> bool:
-        """Step down if live members that have lost contact with this leader are reached by others."""
-        cut_off = self._ports.find_cut_off(lost)
-        if not cut_off or not self._step_down.is_allowed(now):
-            return False
-        self._step_down.record(now)
-        self._execute(self.raft.step_down(now, f"only others reach {', '.join(cut_off)}"))
-        return True
-
     def _change_voters(self, now: float, live: Mapping[str, int]) -> None:
         wanted = self._bootstrap.next_membership_change(self.raft.members, live)
         if wanted is None:
--- a/winchspan/consensus/reachability.py
+++ b/winchspan/consensus/reachability.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 FIRST_BACKOFF_MS: Final = 5_000.0  # between two times that this node gives way; doubled each time
@@ -20,12 +21,20 @@
         self._allowed_at_ms = float("-inf")
         self._backoff_ms = FIRST_BACKOFF_MS
 
-    def is_allowed(self, now: float) -> bool:
-        """Return whether the leader may step down now."""
-        return now >= self._allowed_at_ms
+    def decide(self, now: float, cut_off: Iterable[str]) -> str:
+        """Return why the leader steps down now; empty: it stays.
 
-    def record(self, now: float) -> None:
-        """Note that the leader steps down."""
+        Args:
+            now: clock reading, ms.
+            cut_off: live members that only others reach.
+        """
+        names = sorted(cut_off)
+        if not names or now < self._allowed_at_ms:
+            return ""
+        self._back_off(now)
+        return f"only others reach {', '.join(names)}"
+
+    def _back_off(self, now: float) -> None:
         is_first_in_long = now >= self._allowed_at_ms + MAX_BACKOFF_MS
         self._backoff_ms = FIRST_BACKOFF_MS if is_first_in_long else min(2 * self._backoff_ms, MAX_BACKOFF_MS)
         self._allowed_at_ms = now + self._backoff_ms
