--- a/tests/test_scheduling_slow_start_fleet.py
+++ b/tests/test_scheduling_slow_start_fleet.py
@@ -47,7 +47,7 @@
     assert result.worst_load >= LEAST_USED, result
 
 
-@pytest.mark.parametrize("seed", [*range(24), 89])
+@pytest.mark.parametrize("seed", [*range(24), 89, 187, 270])
 def test_drawn_fleet_stays_within_its_budget_and_serves(seed: int):
     day = draw_day(seed)
     result = play_fleet(day, seed)
