--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -252,19 +252,13 @@
         return True
 
 
-def copy_of_program(target: Path, operator_sections: dict[str, str] | None = None) -> Path:
-    """Copy the program and its deploy file; sections of the operator's file may be replaced.
-
-    The built environment is used as it is.
-    """
+def copy_of_program(target: Path, operator_file: str) -> Path:
+    """Copy the program and its deploy file, with another operator's file; the built environment is shared."""
     target.mkdir()
     for name in ("winchspan", "deploy"):
         shutil.copytree(ROOT / name, target / name, ignore=shutil.ignore_patterns("__pycache__"))
     (target / ".venv").symlink_to(ROOT / ".venv")
-    if operator_sections:
-        file = target / "deploy" / "kenanga.sexp"
-        text = "".join(f"{section}\n" for section in operator_sections.values())
-        file.write_text(text)
+    (target / "deploy" / "kenanga.sexp").write_text(operator_file)
     return target
 
 
