--- a/review/2/case.py
+++ b/review/2/case.py
@@ -21,6 +21,7 @@
     main,
     message_class,
     ok_answer,
+    ping,
     response,
     runs_of,
     settings,
@@ -30,7 +31,7 @@
 QUIET_CLIENTS = 12  # clients whose connections fall quiet while staying open
 QUIET_EVERY = 0.1  # s between them
 IDLE_END = 2.1  # s after which a courier ends such a connection
-ASKS = "asks to take over"  # the serving process logs it when the new one has connected
+NOT_ANSWERED = 0.06  # s without an answer to PING: the courier accepts nobody while it prepares a hand-over
 LEFT = 3.0  # s in which the last message may be delivered
 LOST_AFTER = (
     0.5  # s past its time after which a message without an end is lost: the longest that a page names
@@ -55,14 +56,13 @@
     return clients
 
 
-async def wait_for_request(courier: Courier) -> None:
-    """Wait until the serving process logs that the new one asks to take over."""
-    log = courier.folder / "log0"
-    for _ in range(1000):
-        if ASKS in log.read_text(errors="replace"):
+async def wait_for_hand_over(courier: Courier) -> None:
+    """Wait until new connections are not answered: the new process has asked the serving one to hand over."""
+    for _ in range(500):
+        if not await ping(courier.port, limit=NOT_ANSWERED):
             return
         await asyncio.sleep(0.005)
-    raise CaseError("the new process did not ask to take over")
+    raise CaseError("the hand-over was not seen")
 
 
 async def move_discovery(case: Case, courier: Courier, target: Platform) -> None:
@@ -90,11 +90,10 @@
     quiet = await become_quiet(case, courier)
     await asyncio.sleep(IDLE_END - QUIET_CLIENTS * QUIET_EVERY + 0.1)
     if TROUBLE:
-        first_admin = courier.admin_port
         courier.admin_port = free_port()
         courier.start()
-        await wait_for_request(courier)
-        case.record(f"the new process asks the one at {first_admin} to hand over")
+        await wait_for_hand_over(courier)
+        case.record("new connections are not answered: the hand-over has begun")
     moving = asyncio.create_task(move_discovery(case, courier, second))
     if TROUBLE:
         await courier.wait_admin_ready()
