Review: an unexpected error of a test exits with 2, and couriers end with their test

A check of the form found that run.sh exited with 1, as for a broken rule, when the test itself raised an error it does not expect, and when nobody read its output any more. What the cases do and check is unchanged.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import copy
+import ctypes
 import json
 import os
 import random
@@ -29,6 +30,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 HOST = "127.0.0.1"
+PR_SET_PDEATHSIG = 1  # prctl(2)
 SECOND_NS = 1_000_000_000
 
 
@@ -252,16 +254,6 @@
         return True
 
 
-def copy_of_program(target: Path, operator_file: str) -> Path:
-    """Copy the program and its deploy file, with another operator's file; the built environment is shared."""
-    target.mkdir()
-    for name in ("winchspan", "deploy"):
-        shutil.copytree(ROOT / name, target / name, ignore=shutil.ignore_patterns("__pycache__"))
-    (target / ".venv").symlink_to(ROOT / ".venv")
-    (target / "deploy" / "kenanga.sexp").write_text(operator_file)
-    return target
-
-
 def proves_that_it_never_ran(call: Call) -> bool:
     """Return whether a call's answer proves that it has not run, by the table of the protocol page."""
     return call.answer[:12] in {b"HTTP/1.1 %d" % status for status in (429, 503, 504, 410)}
@@ -532,6 +524,7 @@
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log,
+            preexec_fn=end_with_parent,
         )
         self.processes.append(process)
         self.record(f"platform: started process {len(self.processes)} of the courier")
@@ -620,7 +613,7 @@
     case = Case(record, work, platform)
     try:
         broken = await asyncio.wait_for(play(case), 110)
-    except (CaseError, TimeoutError, OSError, asyncio.CancelledError) as err:
+    except (Exception, asyncio.CancelledError) as err:  # whatever goes wrong in a test breaks no rule
         record(f"the case could not run: {err!r}")
         return NOT_RUN
     finally:
@@ -628,17 +621,31 @@
             courier.end()
     for line in broken:
         record(f"BROKEN: {line}")
-        print(f"BROKEN: {line}")
+        say(f"BROKEN: {line}")
     record("the rule was broken" if broken else "the rule held")
     return BROKEN if broken else HELD
 
 
+def say(text: str) -> None:
+    """Print a line; a reader that has gone changes nothing."""
+    with suppress(OSError):
+        os.write(1, f"{text}\n".encode())
+
+
 def main(case_file: str, play: Play) -> None:
     """Run a case in a temporary folder, and exit with 1 if its rule was broken, 0 if it held, else 2."""
+    code = NOT_RUN
     work = Path(tempfile.mkdtemp(prefix="review-"))
     try:
         code = asyncio.run(_run(Path(case_file).resolve().parent, play, work))
+    except Exception as err:
+        say(f"the case could not run: {err!r}")
     finally:
         shutil.rmtree(work, ignore_errors=True)
-    print({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[code])
+    say({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[code])
     sys.exit(code)
+
+
+def end_with_parent() -> None:
+    """Have the system kill this process when the test ends, even if the test is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
