Log what a hand-over waits for, held responses and late final answers

Change: a drain of over 100 ms names the calls, held responses, clients and notifications that it waits for; a held response is logged with how long it is held; a final answer more than 50 ms behind the message's deadline is logged with its delay. No behaviour changes.

--- a/winchspan/delivery/final_answers.py
+++ b/winchspan/delivery/final_answers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import Any
+from typing import Any, Final
+
+from loguru import logger
 
 from winchspan import api
 from winchspan.delivery.context import EngineContext
@@ -12,6 +14,7 @@
 from winchspan.delivery.messages import STATE_RETURNED, AcceptedMessage, AttemptRecord
 from winchspan.runtime.clock import ms_to_ns, ns_to_ms
 
+LATE_MS: Final = 50.0  # behind a deadline, from when on the log tells of a final answer
 STILL_IN_FLIGHT = "still out"  # stored outcome of an attempt that has not ended
 
 
@@ -38,6 +41,9 @@
         message = self._table.find(message_id)
         if message is None or message.is_completed:
             return
+        late_ms = self._clock.now() - message.deadline_ms
+        if late_ms > LATE_MS:
+            logger.info("message {} ends {:.0f} ms after its deadline: {}", message_id, late_ms, state)
         history = self._failure_history(message, state)
         self._journal.record_notification_pending(message.journal_number, state, after_ms, history)
         self._table.complete(message)
--- a/winchspan/net/http_connection.py
+++ b/winchspan/net/http_connection.py
@@ -147,6 +147,11 @@
         """Whether the kernel has taken some bytes of the request, but not all."""
         return self in self._pool.partially_written
 
+    @property
+    def has_held_response(self) -> bool:
+        """Whether the response of its call has come, and may belong to an earlier one."""
+        return self._reader.order.held is not None
+
     def has_unread_input(self) -> bool:
         """Return whether the loop has not yet read received bytes or the end of the stream.
 
@@ -234,7 +239,7 @@
             return False
         if self.call is None:
             return not self.is_closing_after_call
-        return self.is_written and self.call.forced_outcome is None and self._reader.order.held is None
+        return self.is_written and self.call.forced_outcome is None and not self.has_held_response
 
     def export_state(self) -> HttpCallState:
         """Return the state of its call for the next process."""
--- a/winchspan/net/response_reader.py
+++ b/winchspan/net/response_reader.py
@@ -118,6 +118,12 @@
             return
         until_ms = self._hold_until_ms(call, now_ms)
         if until_ms is not None:
+            logger.info(
+                "http connection to {}: response {} is held for {:.0f} ms, as it came faster than all others",
+                self._peer.address,
+                call.parser.status,
+                until_ms - now_ms,
+            )
             self.order.hold(call.parser, now_ms)
             self._hold_timer = self._context.call_at(until_ms, lambda: self._accept_held(call))
             self._expect_another(call)
--- a/winchspan/upgrade/hand_over_server.py
+++ b/winchspan/upgrade/hand_over_server.py
@@ -4,6 +4,7 @@
 
 import array
 import asyncio
+import math
 import os
 import socket
 from collections.abc import Callable
@@ -20,6 +21,7 @@
     HandOverState,
     HandOverStateMachine,
 )
+from winchspan.upgrade.undrained import Undrained
 from winchspan.upgrade.wire_protocol import (
     COMMIT_LINE,
     DESCRIPTORS_PER_MESSAGE,
@@ -33,6 +35,7 @@
 
 REQUEST_TIMEOUT_SECONDS: Final = 1.0  # for the request line of a new process
 DRAIN_POLL_SECONDS: Final = 0.005  # delay between two checks for the end of the drain
+LONG_DRAIN_MS: Final = 100.0  # duration of a drain after which the log names what it waits for
 MAX_LINE_BYTES: Final = 200
 _CREDENTIALS: Final = Struct("3i")  # SO_PEERCRED: process, user and group id
 _ROOT_UID: Final = 0
@@ -54,6 +57,9 @@
     def is_drained(self) -> bool:
         """Whether all remaining calls and connections can be handed over."""
 
+    def undrained(self) -> Undrained:
+        """Return what cannot be handed over yet."""
+
     def cancel_undrained(self) -> None:
         """Cancel the calls and connections that did not drain in time."""
 
@@ -197,8 +203,12 @@
 
     async def _drain(self) -> None:
         """Wait until all remaining calls and connections can be handed over; raises HandOverError."""
+        log_at_ms = self._now() + LONG_DRAIN_MS
         while self._machine.state is HandOverState.DRAINING:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            if self._now() >= log_at_ms:
+                logger.info("upgrade: waits for {}", self._actions.undrained())
+                log_at_ms = math.inf
             if self._actions.is_drained():
                 self._perform(self._machine.on_drained(self._now()))
             else:
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -13,6 +13,7 @@
 from winchspan.upgrade.hand_over_server import StateTransfer
 from winchspan.upgrade.state_codec import encode_state
 from winchspan.upgrade.transferred_state import CourierState, IdleConnection, TransferredState
+from winchspan.upgrade.undrained import Undrained
 
 
 class HandOverSource:
@@ -52,11 +53,17 @@
 
     def is_drained(self) -> bool:
         """Whether all remaining calls and connections can be handed over."""
-        return (
-            self._components.engine.is_settled()
-            and not self._components.clients.untransferable_count()
-            and not self._components.notifications.is_in_flight
-            and not self._undrained_calls()
+        return not self.undrained()
+
+    def undrained(self) -> Undrained:
+        """Return what cannot be handed over yet."""
+        calls = self._undrained_calls()
+        return Undrained(
+            servers=tuple(str(connection.peer.address) for connection in calls),
+            held_count=sum(connection.has_held_response for connection in calls),
+            client_count=self._components.clients.untransferable_count(),
+            has_notification=self._components.notifications.is_in_flight,
+            has_unsettled_attempts=not self._components.engine.is_settled(),
         )
 
     def cancel_undrained(self) -> None:
