--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -286,6 +286,7 @@
         endpoint: the endpoint that is listed at the start.
         config: its configuration, as JSON values.
         arguments: its command line.
+        program: the directory of the program that is started.
     """
 
     def __init__(self, folder: Path, **settings: Any) -> None:
@@ -305,6 +306,7 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.listener: socket.socket | None = None
         self.arguments: list[str] = []
+        self.program = ROOT
 
     def configure(self, **settings: Any) -> None:
         """Change settings and write the configuration.
@@ -372,7 +374,7 @@
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "winchspan", *self.arguments],
-                cwd=ROOT,
+                cwd=self.program,
                 env=env,
                 stderr=log,
                 pass_fds=descriptors,
--- /dev/null
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -0,0 +1,117 @@
+"""Final answers of messages that expire while a new process takes over, with real courier processes."""
+
+from __future__ import annotations
+
+import subprocess
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from .loopback import PING, ROOT, Client, CourierHarness, encode_submit, wait_for
+from .test_upgrade_processes import copy_with_changed_scheduler
+
+REMAINING_MS = 200
+LATE_SECONDS = 0.35  # from the deadline of a message to the latest allowed notification
+DRAIN_LOG_LINE = "asks to take over"
+LONGEST_SLOW_RESPONSE_SECONDS = 1.0
+BLOCKED_SECONDS = 0.3  # without progress of a client's write
+
+
+class Upgrade:
+    """A serving courier, and a new process that takes over from it.
+
+    Attributes:
+        harness: the courier.
+        client: a client's connection, which is open from the start.
+    """
+
+    def __init__(self, harness: CourierHarness) -> None:
+        self.harness = harness
+        harness.hold_listener()
+        harness.start()
+        self.client: Client = harness.connect_client()
+        self._processes: list[subprocess.Popen[bytes]] = []
+
+    def begin(self, program: Path) -> None:
+        """Start the new process, and wait until the serving one drains."""
+        assert self.harness.process is not None
+        self._processes.append(self.harness.process)
+        self.harness.program = program
+        self.harness.start_process()
+        wait_for("the drain", lambda: DRAIN_LOG_LINE in self.harness.read_log())
+        assert "handed over" not in self.harness.read_log()
+
+    def assert_notified_in_time(self) -> None:
+        """Submit a message that expires during the drain, and check when its notification comes."""
+        due_at = time.monotonic() + REMAINING_MS / 1_000
+        assert self.client.request(encode_submit("brief", remaining_ms=REMAINING_MS)) == b"+OK\r\n"
+        self.harness.wait_for_notification("brief")
+        assert time.monotonic() <= due_at + LATE_SECONDS
+
+    def finish(self) -> None:
+        """Wait until the serving process has ended."""
+        assert all(process.wait(60) == 0 for process in self._processes)
+
+    def close(self) -> None:
+        for process in self._processes:
+            process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def upgrade(tmp_path: Path) -> Iterator[Upgrade]:
+    harness = CourierHarness(tmp_path)
+    found = Upgrade(harness)
+    yield found
+    found.close()
+    harness.close()
+
+
+def test_message_that_expires_while_another_program_waits_for_calls_is_notified_in_time(
+    upgrade: Upgrade, tmp_path: Path
+):
+    """Guards against report 867209: final answers waited for the end of a drain."""
+    upgrade.harness.submit(encode_submit("hanging"))
+    upgrade.harness.wait_for_calls(1)
+    upgrade.begin(copy_with_changed_scheduler(tmp_path / "other"))
+    upgrade.assert_notified_in_time()
+    upgrade.finish()
+
+
+def test_message_that_expires_while_a_held_response_is_awaited_is_notified_in_time(upgrade: Upgrade):
+    """Guards against report 867209 between equal programs."""
+    harness = upgrade.harness
+    harness.submit(encode_submit("slow"))
+    (slow,) = harness.wait_for_calls(1)
+    time.sleep(LONGEST_SLOW_RESPONSE_SECONDS)
+    slow.answer()
+    harness.submit(encode_submit("fast"))
+    harness.wait_for_calls(2)[1].answer()
+    upgrade.begin(ROOT)
+    upgrade.assert_notified_in_time()
+    upgrade.finish()
+
+
+def connect_client_that_does_not_read(harness: CourierHarness) -> None:
+    """Connect a client that sends requests until the courier can write no more replies."""
+    connection = harness.connect_client().connection
+    connection.setblocking(False)
+    requests, sent_at = 1_000 * PING, time.monotonic()
+    unsent = requests
+    while time.monotonic() < sent_at + BLOCKED_SECONDS:
+        try:
+            unsent = unsent[connection.send(unsent) :] or requests
+            sent_at = time.monotonic()
+        except BlockingIOError:
+            time.sleep(0.01)
+
+
+def test_message_that_expires_while_a_client_does_not_read_is_notified_in_time(upgrade: Upgrade):
+    """Guards against report 867209 between equal programs."""
+    connect_client_that_does_not_read(upgrade.harness)
+    upgrade.client = upgrade.harness.connect_client()
+    upgrade.begin(ROOT)
+    upgrade.assert_notified_in_time()
+    upgrade.finish()
--- /dev/null
+++ b/tests/test_wait_processes.py
@@ -0,0 +1,65 @@
+"""Waits that endpoints ask for, in each kind of response, with a real courier process."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from .loopback import Call, CourierHarness, encode_submit
+
+SLOWEST_RESPONSE_SECONDS = 0.4
+WAIT_MS = 1_200
+CROSSING_SECONDS = 0.1  # calls that arrive within this time of the response cross it
+ROUNDING_SECONDS = 0.05  # of the times that this process reads
+
+
+@pytest.fixture
+def harness(tmp_path: Path) -> Iterator[CourierHarness]:
+    found = CourierHarness(tmp_path)
+    yield found
+    found.close()
+
+
+def batch_response(call: Call, state: str = "ok") -> tuple[bytes, bytes]:
+    """Return head and body of a response to a batch that asks for a wait."""
+    body = json.dumps([{"id": message, "state": state} for message in call.ids]).encode()
+    head = f"HTTP/1.1 200 OK\r\nX-RateLimit-Wait-Ms: {WAIT_MS}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode(), body
+
+
+def call_behind_a_slow_one(harness: CourierHarness) -> Call:
+    """Return a call of two messages, on a connection whose last response was slow and came just now."""
+    harness.start()
+    harness.submit(encode_submit("first"))
+    (first,) = harness.wait_for_calls(1)
+    time.sleep(SLOWEST_RESPONSE_SECONDS)
+    first.answer()
+    client = harness.connect_client()
+    client.send(encode_submit("a") + encode_submit("b"))
+    assert [client.read_line(), client.read_line()] == [b"+OK\r\n"] * 2
+    call = harness.wait_for_calls(2)[1]
+    assert sorted(call.ids) == ["a", "b"] and call.connection is first.connection
+    return call
+
+
+def assert_next_call_heeds_the_wait(harness: CourierHarness, answered_at: float) -> None:
+    """Submit a message once calls no longer cross the response, and check when it is called."""
+    call_count = len(harness.endpoint.calls)
+    time.sleep(max(0.0, answered_at + CROSSING_SECONDS + ROUNDING_SECONDS - time.monotonic()))
+    harness.submit(encode_submit("next"))
+    harness.wait_for_calls(call_count + 1)
+    waited_seconds = time.monotonic() - answered_at
+    assert waited_seconds >= WAIT_MS / 1_000 - ROUNDING_SECONDS
+
+
+@pytest.mark.parametrize("state", ["ok", "later"])
+def test_wait_in_a_response_that_is_faster_than_all_others_binds_at_once(harness: CourierHarness, state: str):
+    """Guards against report 867209: a wait bound only once its response was believed."""
+    call = call_behind_a_slow_one(harness)
+    answered_at = time.monotonic()
+    call.write(b"".join(batch_response(call, state)))
+    assert_next_call_heeds_the_wait(harness, answered_at)
