Let a wait bind with the head of its response, whatever becomes of the response

Cause: a wait took effect with the result of its attempt. A response to several messages that is faster than all others of its endpoint is held for up to 2 s, since it may belong to an earlier call; so was its wait. Such responses are often those that reject all messages, which takes the endpoint no work.

Change: the pool reports each response's head once, when it is complete; the transport reports the wait that it asks for to the engine, which passes it to the scheduler at once (WaitRequested): no call starts under the limit, and calls that are not written are recalled. What becomes of the response decides on its messages alone. A result that comes later counts the wait from its head.

--- a/tests/test_net_response_order.py
+++ b/tests/test_net_response_order.py
@@ -25,7 +25,7 @@
     MAX_SETTLE_MS,
     MIN_SETTLE_MS,
     ResponseOrder,
-    is_one_response,
+    parse_surplus,
     settle_ms,
 )
 from winchspan.net.socket_budget import SocketBudget
@@ -321,8 +321,8 @@
     ("data", "expected"),
     [(DELIVERED, True), (DELIVERED[:-1], False), (DELIVERED * 2, False), (b"HTTP/1.1 200 OK\r\n\r\n", False)],
 )
-def test_is_one_response_only_for_a_complete_one(data: bytes, expected: bool):
-    assert is_one_response(data) is expected
+def test_surplus_is_one_response_only_if_it_is_complete(data: bytes, expected: bool):
+    assert parse_surplus(data).is_whole is expected
 
 
 def test_settle_time_is_bounded():
--- a/tests/test_scheduling_guarantees.py
+++ b/tests/test_scheduling_guarantees.py
@@ -237,3 +237,17 @@
     assert harness.attempt_count("b") == 0
     harness.handle(after=20 * MS)
     assert harness.attempt_count("b") == 1
+
+
+@pytest.mark.parametrize("endpoint", [11, 99], ids=["its endpoint", "an endpoint that is not known"])
+def test_retry_after_holds_while_the_attempt_that_was_told_is_in_flight(endpoint: int):
+    """Guards against a wait that binds only with the result of its attempt (report 867209)."""
+    harness = SchedulerHarness(endpoints={1: [11, 12]}, can_recall=True)
+    harness.submit("a")
+    commands = harness.handle(api.WaitRequested(1, endpoint, 900 * MS), after=50 * MS)
+    assert {command.endpoint for command in commands if isinstance(command, api.RecallAttempts)} == {11}
+    harness.submit("b")
+    harness.handle(after=890 * MS)
+    assert [message for message, _, _ in harness.sent] == ["a"]
+    harness.handle(after=20 * MS)
+    assert [message for message, _, _ in harness.sent] == ["a", "b"]
--- a/tests/test_wait_processes.py
+++ b/tests/test_wait_processes.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from .loopback import Call, CourierHarness, encode_submit
+from .loopback import Call, CourierHarness, encode_submit, reset_connection, wait_for
+from .test_crossings_calls import unread_byte_count
 
 SLOWEST_RESPONSE_SECONDS = 0.4
+LATE_BODY_SECONDS = 0.4  # behind the head, within the time for a response
 WAIT_MS = 1_200
 CROSSING_SECONDS = 0.1  # calls that arrive within this time of the response cross it
 ROUNDING_SECONDS = 0.05  # of the times that this process reads
@@ -63,3 +66,39 @@
     answered_at = time.monotonic()
     call.write(b"".join(batch_response(call, state)))
     assert_next_call_heeds_the_wait(harness, answered_at)
+
+
+@pytest.mark.parametrize("ends", ["late", "never", "reset", "spoilt", "for others"])
+def test_wait_binds_whatever_becomes_of_the_rest_of_its_response(harness: CourierHarness, ends: str):
+    """Guards against a wait that is lost with its response, or binds only when that ends."""
+    harness.start()
+    client = harness.connect_client()
+    client.send(encode_submit("a") + encode_submit("b"))
+    assert [client.read_line(), client.read_line()] == [b"+OK\r\n"] * 2
+    (call,) = harness.wait_for_calls(1)
+    head, body = batch_response(call)
+    answered_at = time.monotonic()
+    if ends == "for others":
+        call.write(head + body.replace(b'"a"', b'"x"').replace(b'"b"', b'"y"'))
+    elif ends == "spoilt":
+        call.write(head.replace(b"Content-Length", b"Transfer-Encoding: chunked\r\nX-Length") + b"spoilt\r\n")
+    else:
+        call.write(head + body[:-1])
+    if ends == "reset":
+        wait_for("the head is read", lambda: unread_byte_count(call.connection) == 0)
+        reset_connection(call.connection)
+    if ends == "late":
+        threading.Timer(LATE_BODY_SECONDS, call.write, [body[-1:]]).start()
+    assert_next_call_heeds_the_wait(harness, answered_at)
+
+
+def test_wait_in_a_surplus_response_on_an_idle_connection_binds(harness: CourierHarness):
+    """Guards against a wait in the response to a call whose place a surplus response has taken."""
+    harness.start()
+    harness.submit(encode_submit("first"))
+    (first,) = harness.wait_for_calls(1)
+    first.answer()
+    wait_for("the connection is idle", lambda: "attempt completed" in harness.read_log())
+    answered_at = time.monotonic()
+    first.answer(429, f"X-RateLimit-Wait-Ms: {WAIT_MS}")
+    assert_next_call_heeds_the_wait(harness, answered_at)
--- a/winchspan/api/__init__.py
+++ b/winchspan/api/__init__.py
@@ -29,6 +29,7 @@
     PeerNote,
     SlowStartRecovered,
     TimerFired,
+    WaitRequested,
 )
 from winchspan.api.overload_control import AdmissionRequest, OverloadControl, Rejection
 from winchspan.api.settings import (
@@ -82,4 +83,5 @@
     "Tenant",
     "TimerFired",
     "UpdateScope",
+    "WaitRequested",
 ]
--- a/winchspan/api/events.py
+++ b/winchspan/api/events.py
@@ -117,6 +117,21 @@
     limit_rate: float | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class WaitRequested:
+    """A response asked for a pause (Retry-After); its attempt may still be in flight.
+
+    Attributes:
+        destination: the destination's number.
+        endpoint: the endpoint that responded.
+        wait_ns: the pause, from now on.
+    """
+
+    destination: int
+    endpoint: int
+    wait_ns: int
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer that was set with `SetTimer` has expired."""
@@ -146,6 +161,7 @@
     | SlowStartRecovered
     | NotificationAcknowledged
     | AttemptCompleted
+    | WaitRequested
     | TimerFired
     | MessageWithdrawn
     | PeerNote
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -35,6 +35,7 @@
 from winchspan.delivery.ports import EnginePorts
 from winchspan.delivery.reconfiguration import ClassesState, Reconfiguration
 from winchspan.delivery.recovery import Recovery
+from winchspan.runtime.clock import ms_to_ns
 from winchspan.runtime.metrics import Metrics
 from winchspan.scheduling.scheduler import Scheduler
 from winchspan.storage.journal_records import JournalEntry
@@ -164,6 +165,10 @@
         """Report a change of the endpoint list to the scheduler."""
         self._events.post(update)
 
+    def begin_wait(self, destination: int, endpoint: int, wait_ms: float) -> None:
+        """Report a response that asks for a pause of `wait_ms`, before the result of its attempt."""
+        self._events.post(api.WaitRequested(destination, endpoint, ms_to_ns(wait_ms)))
+
     # ---- lifecycle ---------------------------------------------------------------------------------------
     def recover(self) -> None:
         """Resume the open messages of the previous incarnation, in the order of their acceptance."""
--- a/winchspan/delivery/event_queue.py
+++ b/winchspan/delivery/event_queue.py
@@ -31,7 +31,7 @@
     def post(self, event: api.Event) -> None:
         """Queue an event; all events of one scheduling step are handled together."""
         self.pending.append(event)
-        if isinstance(event, api.EndpointsUpdated):  # a draining endpoint must not get further calls
+        if isinstance(event, api.EndpointsUpdated | api.WaitRequested):  # both forbid calls from now on
             self._context.call_soon(self.run_cycle)
         elif not self.is_cycle_due:
             self.is_cycle_due = True
--- a/winchspan/net/attempt_transport.py
+++ b/winchspan/net/attempt_transport.py
@@ -18,7 +18,7 @@
 from winchspan.delivery.messages import AttemptResult, OutgoingMessage
 from winchspan.net import http
 from winchspan.net.connection_pool import CallOptions, HttpConnectionPool
-from winchspan.net.endpoint_directory import EndpointDirectory, EndpointRecord
+from winchspan.net.endpoint_directory import EndpointDirectory
 from winchspan.net.http_call import HttpCall, HttpCallOutcome, HttpCallResult, HttpCallState, HttpPeer
 from winchspan.runtime.clock import Clock
 from winchspan.runtime.metrics import Metrics
@@ -40,6 +40,7 @@
 }
 _NOT_EXECUTED_STATUSES: Final = (410, 504)
 _MAX_BACKOFF_MS: Final = 1e9
+MIN_BACKOFF_LEFT_MS: Final = 1.0  # a rejection that has asked for a wait is not one without
 
 
 class CallContent(NamedTuple):
@@ -53,9 +54,13 @@
     messages: list[OutgoingMessage]
     sent_messages: list[OutgoingMessage]
 
-    def results(self, result: HttpCallResult, *, has_load_reports: bool) -> list[AttemptResult]:
+    def results(
+        self, result: HttpCallResult, *, has_load_reports: bool, head_age_ms: float = 0.0
+    ) -> list[AttemptResult]:
         """Return a result for each message; a message that was not sent was not executed."""
-        sent_results = read_results(result, self.sent_messages, has_load_reports=has_load_reports)
+        sent_results = read_results(
+            result, self.sent_messages, has_load_reports=has_load_reports, head_age_ms=head_age_ms
+        )
         by_id = {
             message.id: attempt_result
             for message, attempt_result in zip(self.sent_messages, sent_results, strict=True)
@@ -100,6 +105,7 @@
         shared_backoff_ms: returns the ms that a destination must not be called, as it asked other couriers;
             None: backoffs are not shared.
         on_backoff: called with each destination that asks to back off, and the ms.
+        on_wait: called with destination, endpoint and ms as soon as a response asks to back off.
         may_send: returns whether a call may be sent, right before its first byte; None: always.
     """
 
@@ -118,6 +124,8 @@
         self._metrics = metrics or Metrics()
         self.shared_backoff_ms: Callable[[int], float] | None = None
         self.on_backoff: Callable[[int, float], None] | None = None
+        self.on_wait: Callable[[int, int, float], None] = lambda destination, endpoint, wait_ms: None
+        pool.on_head = self._read_head
         self.may_send: Callable[[], bool] | None = None
 
     def set_settings(self, settings: TransportSettings) -> None:
@@ -154,7 +162,7 @@
             record.peer,
             partial(self._make_request, content, record.address, deadline_ms, is_wanted),
             deadline_ms,
-            lambda result: on_results(self._read(result, content, record)),
+            lambda result: on_results(self._results(result, content, record.peer)),
             CallOptions(
                 start_by_ms=start_by_ms,
                 on_written=lambda: self._metrics.count_sent(len(content.sent_messages)),
@@ -180,21 +188,26 @@
         encode = _encode_batch if len(wanted) > 1 else _encode_single
         return encode(wanted, str(address), remaining_seconds)
 
-    def _read(
-        self, result: HttpCallResult, content: CallContent, record: EndpointRecord
-    ) -> list[AttemptResult]:
-        """Return the results, and report the backoff that the destination asks for."""
-        results = self._results(result, content, record.peer)
+    def _read_head(self, peer: HttpPeer, response: http.ResponseParser) -> None:
+        """Report the backoff that a response asks for, which binds whatever becomes of the response."""
+        record = self._directory.endpoints.get(peer.endpoint_number)
+        backoff_ms = _backoff_ms(response.headers)
+        if record is None or not backoff_ms:
+            return
+        logger.debug("endpoint {} asks to wait {:.0f} ms, {}", record.name, backoff_ms, response.status)
+        self.on_wait(record.destination, record.number, backoff_ms)
         if self.on_backoff is not None:
-            backoff_ms = max(attempt_result.retry_after_ms for attempt_result in results)
-            if backoff_ms > 0.0:
-                self.on_backoff(record.destination, backoff_ms)
-        return results
+            self.on_backoff(record.destination, backoff_ms)
 
     def _results(self, result: HttpCallResult, content: CallContent, peer: HttpPeer) -> list[AttemptResult]:
         if content.is_unreadable(result.response):  # its connection may be out of order
             self._pool.close_idle(peer)
-        return content.results(result, has_load_reports=self._settings.has_load_reports)
+        head_ms = None if result.response is None else result.response.head_received_ms
+        return content.results(
+            result,
+            has_load_reports=self._settings.has_load_reports,
+            head_age_ms=0.0 if head_ms is None else self._clock.now() - head_ms,
+        )
 
     def adopt(
         self,
@@ -279,9 +292,20 @@
 
 
 def read_results(
-    result: HttpCallResult, messages: list[OutgoingMessage], *, has_load_reports: bool = False
+    result: HttpCallResult,
+    messages: list[OutgoingMessage],
+    *,
+    has_load_reports: bool = False,
+    head_age_ms: float = 0.0,
 ) -> list[AttemptResult]:
-    """Return the result of the attempt for each message in a completed call."""
+    """Return the result of the attempt for each message in a completed call.
+
+    Args:
+        result: the result of the call.
+        messages: the messages in its request.
+        has_load_reports: whether responses hold load reports.
+        head_age_ms: time since the head of the response, by which the wait that it asks for is over.
+    """
     response = result.response
     if response is None:
         if result.first_line_status == 200 and len(messages) == 1:
@@ -289,7 +313,10 @@
             return [AttemptResult(api.Outcome.DELIVERED, True)]
         return [AttemptResult(_OUTCOMES[result.outcome])] * len(messages)
     limit_remaining, limit_rate = _load_report(response.headers.get("x-load", "") if has_load_reports else "")
-    signals = ResponseSignals(_backoff_ms(response.headers), limit_remaining, limit_rate)
+    backoff_ms = _backoff_ms(response.headers)
+    if backoff_ms:
+        backoff_ms = max(MIN_BACKOFF_LEFT_MS, backoff_ms - head_age_ms)
+    signals = ResponseSignals(backoff_ms, limit_remaining, limit_rate)
     if response.status == 200 and len(messages) > 1:
         return _read_batch(bytes(response.body), messages, signals)
     return [_read_single(response, signals)] * len(messages)
--- a/winchspan/net/connection_pool.py
+++ b/winchspan/net/connection_pool.py
@@ -68,7 +68,13 @@
 
 
 class HttpConnectionPool:
-    """All connections to HTTP servers. The idle ones are listed by peer, the last used at the end."""
+    """All connections to HTTP servers. The idle ones are listed by peer, the last used at the end.
+
+    Attributes:
+        partially_written: the connections of which only a part of the request is written.
+        on_head: called with the server and each response once its head has come, also where the response is
+            held, discarded or incomplete in the end.
+    """
 
     def __init__(
         self,
@@ -86,7 +92,8 @@
         self._connections: SlotTable[HttpConnection] = SlotTable()
         self._idle: dict[HttpPeer, list[HttpConnection]] = {}
         self._response_times: dict[HttpPeer, ResponseTimes] = {}
-        self.partially_written: set[HttpConnection] = set()  # only part of their request is written
+        self.partially_written: set[HttpConnection] = set()
+        self.on_head: Callable[[HttpPeer, ResponseParser], None] = lambda peer, response: None
 
     def set_timeouts(self, timeouts: PoolTimeouts) -> None:
         """Use other time limits for later connects and releases."""
@@ -154,13 +161,17 @@
             self._remove_idle(connection)
             if not connection.has_unread_input():
                 return connection
-            connection.abort()
+            connection.close_after_reading()
         return None
 
     def response_times(self, peer: HttpPeer) -> ResponseTimes:
         """Return the response times of a server."""
         return self._response_times.setdefault(peer, ResponseTimes())
 
+    def report_head(self, peer: HttpPeer, response: ResponseParser) -> None:
+        """Report the head of a response, whatever becomes of the response."""
+        self.on_head(peer, response)
+
     def call_at(self, at_ms: float, action: Callable[[], None]) -> Timer:
         """Call `action` at a reading of the clock."""
         return self._timers.call_at(at_ms, action)
--- a/winchspan/net/http.py
+++ b/winchspan/net/http.py
@@ -31,8 +31,11 @@
         body: the collected body.
         is_complete: whether the whole response has been parsed.
         keep_alive: whether the connection may be used again.
+        head_received_ms: clock reading at which its reader has got the head; None: not yet.
     """
 
+    head_received_ms: float | None = None  # not part of a state that another program has written
+
     def __init__(self, on_body: Callable[[bytes], None] | None = None) -> None:
         self.status = 0
         self.first_line_status = 0
--- a/winchspan/net/http_connection.py
+++ b/winchspan/net/http_connection.py
@@ -127,7 +127,11 @@
             self._write()
             return
         self._pass_call_on(self.call)
-        self.abort()
+        self.close_after_reading()
+
+    def close_after_reading(self) -> None:
+        """Close the connection once it has read the input that has arrived, which may ask for a wait."""
+        self.call_after_next_poll(self.abort)
 
     def _pass_call_on(self, call: HttpCall) -> None:
         """Give the call, of which nothing is written, another connection."""
@@ -298,9 +302,11 @@
         self._reader.buffer.end += nbytes
         call = self.call
         if call is None or call.forced_outcome is not None:
-            self.abort()  # unsolicited bytes
+            self._reader.read_surplus()
+            self.abort()
             return
         if self._settle_timer is not None:  # surplus bytes behind the last response
+            self._reader.read_surplus()
             self._pass_call_on(call)
             self.abort()
             return
--- a/winchspan/net/response_order.py
+++ b/winchspan/net/response_order.py
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, NamedTuple
 
 from winchspan.net.http import HttpProtocolError, ResponseParser
 
@@ -161,11 +161,23 @@
     return min(max(MIN_SETTLE_MS, response_time_ms), MAX_SETTLE_MS)
 
 
-def is_one_response(data: bytes) -> bool:
-    """Return whether the bytes are exactly one complete response, so that another may follow it."""
+class SurplusResponse(NamedTuple):
+    """Bytes that are no response to the call of their connection.
+
+    Attributes:
+        parser: has parsed as much of them as is a response.
+        is_whole: whether they are exactly one complete response, so that another may follow it.
+    """
+
+    parser: ResponseParser
+    is_whole: bool
+
+
+def parse_surplus(data: bytes) -> SurplusResponse:
+    """Parse surplus bytes."""
     parser = ResponseParser()
     try:
         parsed_bytes = parser.feed(bytearray(data), 0, len(data))
     except HttpProtocolError:
-        return False
-    return parser.is_complete and parser.keep_alive and parsed_bytes == len(data)
+        return SurplusResponse(parser, is_whole=False)
+    return SurplusResponse(parser, parser.is_complete and parser.keep_alive and parsed_bytes == len(data))
--- a/winchspan/net/response_reader.py
+++ b/winchspan/net/response_reader.py
@@ -11,7 +11,7 @@
 from winchspan.net.http import HttpProtocolError, ResponseParser
 from winchspan.net.http_call import HttpCall, HttpCallOutcome, HttpPeer
 from winchspan.net.receive_buffer import ReceiveBuffer
-from winchspan.net.response_order import ResponseOrder, ResponseTimes, is_one_response
+from winchspan.net.response_order import ResponseOrder, ResponseTimes, parse_surplus
 from winchspan.net.socket_state import unacknowledged_bytes
 from winchspan.runtime.timers import Timer
 
@@ -31,6 +31,9 @@
     def response_times(self, peer: HttpPeer) -> ResponseTimes:
         """Return the response times of a server."""
 
+    def report_head(self, peer: HttpPeer, response: ResponseParser) -> None:
+        """Report the head of a response, whatever becomes of the response."""
+
 
 class ResponseReader:
     """Parses received bytes; holds or discards responses that do not belong to the call.
@@ -87,21 +90,35 @@
 
         The request may still be executed.
         """
-        surplus = bytes(self.buffer.data[self.buffer.start : self.buffer.end])
-        logger.debug("http connection to {}: {} surplus bytes", self._peer.address, len(surplus))
-        if not is_one_response(surplus):
+        if not self.read_surplus():
             call.abort(HttpCallOutcome.INVALID_RESPONSE)
             return
         self.buffer.start = self.buffer.end
         self.is_out_of_order = True
 
+    def read_surplus(self) -> bool:
+        """Report the head of a surplus response; return whether the bytes are exactly one response."""
+        data = bytes(self.buffer.data[self.buffer.start : self.buffer.end])
+        logger.debug("http connection to {}: {} surplus bytes", self._peer.address, len(data))
+        surplus = parse_surplus(data)
+        self._report_head(surplus.parser)
+        return surplus.is_whole
+
+    def _report_head(self, response: ResponseParser) -> None:
+        """Report a head that is complete, once: what it says of the server holds for any response."""
+        if response.status and response.head_received_ms is None:
+            response.head_received_ms = self._context.now()
+            self._context.report_head(self._peer, response)
+
     def _parse(self, call: HttpCall) -> None:
         buffer = self.buffer
         try:
             buffer.start = call.parser.feed(buffer.data, buffer.start, buffer.end)
         except HttpProtocolError as err:
+            self._report_head(call.parser)
             self._handle_invalid_response(call, err)
             return
+        self._report_head(call.parser)
         if call.parser.is_complete or call.parser.is_rejection:
             self._handle_response(call)
         elif not call.parser.first_line_status and not len(buffer):  # only an interim response so far
--- a/winchspan/scheduling/scheduler.py
+++ b/winchspan/scheduling/scheduler.py
@@ -89,6 +89,10 @@
                 self.health.record_arrival(self._accept(event).destination, self.now)
             case api.AttemptCompleted():
                 self._complete_attempt(event)
+            case api.WaitRequested(number, endpoint_id, wait_ns):
+                destination = self._destination(number)
+                endpoint = self.endpoints.get(endpoint_id)
+                self._begin_wait(destination, endpoint.limit if endpoint else destination.limit, wait_ns)
             case api.MessageRecovered():
                 self._recover(event)
             case api.SlowStartRecovered():
@@ -311,8 +315,7 @@
                     limit.next_call_ns, now + int(missing_calls / event.limit_rate * SECOND)
                 )
         if event.wait_ns:  # the response to a delivered call may request a wait, too
-            limit.retry_after_ns = max(limit.retry_after_ns, now + event.wait_ns)
-            self._recall(each for each in call.destination.endpoints.values() if each.limit is limit)
+            self._begin_wait(call.destination, limit, event.wait_ns)
         if call.is_outcome_recorded or event.outcome is Outcome.NOT_SENT:
             return
         call.is_outcome_recorded = True
@@ -323,6 +326,11 @@
         else:
             self._record_failure(call, event, duration_ns)
 
+    def _begin_wait(self, destination: Destination, limit: RateLimit, wait_ns: int) -> None:
+        """Start no call under a limit for a while, and recall those that are not written."""
+        limit.retry_after_ns = max(limit.retry_after_ns, self.now + wait_ns)
+        self._recall(each for each in destination.endpoints.values() if each.limit is limit)
+
     def _record_success(self, call: Call, duration_ns: int) -> None:
         destination = call.destination
         self.health.record_success(call.endpoint, call, duration_ns, self.now)
