Give final answers and notify the platform while a hand-over drains

Cause: a drain suspended all decisions and the notifications until the new process had taken over, and may last 1.2 s between different programs (calls in flight) or 0.7 s between equal ones (a client that does not read its replies, a held response), and 0.7 s more for what is cancelled then. A message whose time passed meanwhile was lost by the 0.3 s of the protocol. What a drain must hold back is new attempts alone.

Change: the engine holds attempts in a drain and goes on with all other decisions; it is suspended by the freeze alone. Notifications go on until nothing else is awaited. A drain that begins while the start of a process still waits for discovery decides, too.

Why this works: attempts are the only thing that a drain waits for and that could begin anew; a final answer is journalled before it is told, so that the next process tells it again or knows it.

--- a/winchspan/delivery/attempts.py
+++ b/winchspan/delivery/attempts.py
@@ -111,7 +111,7 @@
 
     def _may_still_start(self, attempt: DeliveryAttempt) -> bool:
         """Return whether the engine still runs and all members are open, after the wait for replication."""
-        if self._context.is_frozen or self._context.is_suspended:
+        if not self._context.may_start_attempts:
             return False
         members = [self._table.get(handle) for handle, _ in attempt.members]
         return all(message is not None and not message.is_completed for message in members)
--- a/winchspan/delivery/context.py
+++ b/winchspan/delivery/context.py
@@ -51,6 +51,7 @@
         classes: the message classes in force, and earlier ones that open messages were accepted under.
         scheduler: decides on attempts and final answers.
         is_frozen: no further attempt is started.
+        holds_attempts: no attempt is started for now; final answers and other decisions go on.
         is_suspended: no decision is made for now; events are queued.
     """
 
@@ -71,6 +72,7 @@
     classes: dict[str, api.MessageClass]
     scheduler: Scheduler
     is_frozen: bool = False
+    holds_attempts: bool = False
     is_suspended: bool = False
 
     @classmethod
@@ -104,6 +106,11 @@
             scheduler=Scheduler(replace(settings, classes=classes), seed, overload_control),
         )
 
+    @property
+    def may_start_attempts(self) -> bool:
+        """Whether attempts may start now."""
+        return not (self.is_frozen or self.is_suspended or self.holds_attempts)
+
     def accepted_class_of(self, message: AcceptedMessage) -> api.MessageClass | None:
         """Return the class that a message was accepted under; None if it is not known any more."""
         entry = self.journal.get(message.journal_number)
--- a/winchspan/delivery/dispatch_cycle.py
+++ b/winchspan/delivery/dispatch_cycle.py
@@ -53,7 +53,9 @@
         now_ms = self._decision_time_ms() if at_ms is None else at_ms
         self.decided_at_ms = now_ms
         try:
-            commands = self._context.scheduler.handle(ms_to_ns(now_ms), events)
+            commands = self._context.scheduler.handle(
+                ms_to_ns(now_ms), events, may_start=not self._context.holds_attempts
+            )
         except Exception:  # a fault in one decision must not stop the courier
             logger.exception("dispatch cycle failed on {} events", len(events))
             return
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -202,6 +202,10 @@
         self._release.release_all()
 
     # ---- upgrade -----------------------------------------------------------------------------------------
+    def hold_attempts(self, is_holding: bool) -> None:
+        """Start no attempt, or start attempts again; final answers and other decisions go on."""
+        self._hand_over.hold_attempts(is_holding)
+
     def suspend(self, is_suspended: bool) -> None:
         """Suspend or resume decisions and attempts; events are queued during a suspension."""
         self._hand_over.set_suspended(is_suspended)
--- a/winchspan/delivery/hand_over.py
+++ b/winchspan/delivery/hand_over.py
@@ -63,6 +63,12 @@
             self._events.pending = self._events.refresh(self._events.pending, self._suspended_at_ms)
             self._context.call_soon(self._cycle.run)
 
+    def hold_attempts(self, is_holding: bool) -> None:
+        """Start no attempt, or start attempts again; final answers and other decisions go on."""
+        self._context.holds_attempts = is_holding
+        if not is_holding:
+            self._events.post(api.TimerFired(0))  # for the messages that have become ready meanwhile
+
     def export_state(self) -> EngineState:
         """Return the engine's state, for the process that takes over."""
         return EngineState(
--- a/winchspan/scheduling/scheduler.py
+++ b/winchspan/scheduling/scheduler.py
@@ -66,15 +66,23 @@
         self.max_window = max(1, -(-3 * settings.slots // 4) - 1)  # less than three quarters of the slots
         self.initial_window = min(max(1, settings.slots // 2), self.max_window)
 
-    def handle(self, now: int, events: Iterable[Event]) -> list[Command]:
-        """Handle the events up to `now`, in order, and return the resulting commands."""
+    def handle(self, now: int, events: Iterable[Event], *, may_start: bool = True) -> list[Command]:
+        """Handle the events up to `now`, in order, and return the resulting commands.
+
+        Args:
+            now: the clock's reading.
+            events: the events.
+            may_start: whether attempts may start; what remains of the decisions goes on without them.
+        """
         self.now = now
         self._advance_virtual_time()
         for event in events:
             self._handle_event(event)
         self._run_due()
         self._shed_load()
-        self._dispatch()
+        self.wake_ns = NEVER
+        if may_start:
+            self._dispatch()
         wake_ns = min(self.wake_ns, self.due[0][0] if self.due else NEVER)
         if wake_ns < self.timer_ns:
             self.timer_ns = max(wake_ns, self.now + 1)
@@ -456,7 +464,6 @@
 
     def _dispatch(self) -> None:
         """Fill free slots, highest first, each from the eligible destination with the smallest finish tag."""
-        self.wake_ns = NEVER
         n, used = self.settings.slots, set[int]()
         picks = {d.order: (d, pick) for d in self.active.values() if (pick := self._pick(d, used))}
         while self.free_slots and picks:
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -44,16 +44,24 @@
         self._exported_descriptors: list[int] = []
 
     def start_drain(self, same_program: bool) -> None:
-        """Accept no client, start no attempt, and recall the unwritten calls."""
+        """Accept no client, start no attempt, and recall the unwritten calls.
+
+        Messages that reach their deadline meanwhile get their final answers, and the platform is notified.
+        """
         self._same_program = same_program
-        self._components.engine.suspend(True)
+        self._components.engine.hold_attempts(True)
+        self._components.engine.set_suspended(False)  # by a start that still waits for discovery
         self._components.clients.suspend_accepting(True)
         self._components.http_connections.recall_all_unwritten()
-        self._components.notifications.suspend(True)
 
     def is_drained(self) -> bool:
-        """Whether all remaining calls and connections can be handed over."""
-        return not self.undrained()
+        """Whether all remaining calls and connections can be handed over.
+
+        Notifications are suspended only once nothing else is awaited: one may follow another without a gap.
+        """
+        undrained = self.undrained()
+        self._components.notifications.suspend(undrained.is_done_but_notification)
+        return not undrained
 
     def undrained(self) -> Undrained:
         """Return what cannot be handed over yet."""
@@ -133,7 +141,8 @@
         self._components.clients.suspend_accepting(False)
         self._components.clients.pause_for_hand_over(False)
         self._components.http_connections.pause_for_hand_over(False)
-        self._components.engine.suspend(False)
+        self._components.engine.hold_attempts(False)
+        self._components.engine.set_suspended(False)
         self._components.notifications.suspend(False)
         self._components.timers.resume()
 
@@ -151,6 +160,8 @@
 
     def _freeze(self) -> None:
         self.is_frozen = True
+        self._components.engine.set_suspended(True)
+        self._components.notifications.suspend(True)
         self._components.timers.pause()
         self._components.clients.pause_for_hand_over(True)
         self._components.http_connections.pause_for_hand_over(True)
--- a/winchspan/upgrade/undrained.py
+++ b/winchspan/upgrade/undrained.py
@@ -25,7 +25,12 @@
 
     def __bool__(self) -> bool:
         """Return whether anything blocks the hand-over."""
-        return bool(self.servers or self.client_count or self.has_notification or self.has_unsettled_attempts)
+        return self.has_notification or not self.is_done_but_notification
+
+    @property
+    def is_done_but_notification(self) -> bool:
+        """Whether nothing but a notification can block the hand-over."""
+        return not (self.servers or self.client_count or self.has_unsettled_attempts)
 
     def __str__(self) -> str:
         """Return a description for a log line."""
