Bound the freeze of a hand-over by the end of the next message

Callers would see: while a new process reads the state the serving one is frozen, for up to 1.5 s where the new one stalls. A message that expired meanwhile was notified 1.0 s late (two reproductions with a process that stalls for 1.2 s, equal and other program, both failed before).

Cause: the limit of a transfer did not depend on what was owed. The freeze cannot give final answers: its state is on its way.

Change: a transfer may last 200 ms behind the first deadline of an open message, or 200 ms where a notification is due, 1.5 s at most as before; then the serving process resumes, and the new one asks again. The least limit doubles with each transfer in a row that timed out, up to 1.5 s, so that a slow machine still gets its upgrade.

--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 import subprocess
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from .loopback import PING, ROOT, Client, CourierHarness, encode_submit, wait_for
+from winchspan.upgrade.errors import HandOverError
+from winchspan.upgrade.fingerprint import program_fingerprint
+from winchspan.upgrade.hand_over_client import receive_hand_over
+
+from .loopback import PING, ROOT, WAIT_TIMEOUT_SECONDS, Client, CourierHarness, encode_submit, wait_for
 from .test_upgrade_processes import copy_with_changed_scheduler
 
 REMAINING_MS = 200
 LATE_SECONDS = 0.35  # from the deadline of a message to the latest allowed notification
 DRAIN_LOG_LINE = "asks to take over"
 LONGEST_SLOW_RESPONSE_SECONDS = 1.0
+STALL_SECONDS = 1.2  # of a new process, less than the time for a transfer
 BLOCKED_SECONDS = 0.3  # without progress of a client's write
 
 
@@ -30,6 +36,8 @@
     def __init__(self, harness: CourierHarness) -> None:
         self.harness = harness
         harness.hold_listener()
+        harness.list_endpoint("s-2", harness.endpoint, dest=8)
+        harness.discovery.change_endpoint("s-2", health="draining")
         harness.start()
         self.client: Client = harness.connect_client()
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -115,3 +123,29 @@
     upgrade.begin(ROOT)
     upgrade.assert_notified_in_time()
     upgrade.finish()
+
+
+@pytest.mark.parametrize(
+    "fingerprint", [program_fingerprint(), "other"], ids=["same program", "other program"]
+)
+def test_message_that_expires_while_a_new_process_reads_the_state_is_notified_in_time(
+    upgrade: Upgrade, fingerprint: str
+):
+    """Guards against a new process that stalls and holds up the frozen one beyond the end of a message."""
+    harness, is_read = upgrade.harness, threading.Event()
+
+    def stall(_state: bytes) -> None:
+        is_read.set()
+        time.sleep(STALL_SECONDS)
+        raise HandOverError("raised by the test")
+
+    arguments = (harness.folder / "state", fingerprint, stall)
+    successor = threading.Thread(target=receive_hand_over, args=arguments, daemon=True)
+    due_at = time.monotonic() + REMAINING_MS / 1_000
+    assert upgrade.client.request(encode_submit("brief", dest=8, remaining_ms=REMAINING_MS)) == b"+OK\r\n"
+    successor.start()
+    assert is_read.wait(WAIT_TIMEOUT_SECONDS)
+    assert time.monotonic() < due_at, "frozen before the end of the message"
+    harness.wait_for_notification("brief")
+    assert time.monotonic() <= due_at + LATE_SECONDS
+    successor.join()
--- a/tests/test_upgrade_state_machine.py
+++ b/tests/test_upgrade_state_machine.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import math
+
 from hypothesis import given
 from hypothesis import settings as options
 from hypothesis import strategies as st
 
 from winchspan.upgrade.state_machine import (
     DRAIN_TIMEOUT_MS,
+    LEAST_TRANSFER_TIMEOUT_MS,
     TRANSFER_TIMEOUT_MS,
     HandOverAction,
     HandOverState,
     HandOverStateMachine,
+    transfer_timeout_ms,
 )
 
 EVENTS = st.sampled_from(
@@ -68,3 +72,14 @@
         HandOverAction.STOP,
     ]
     assert machine.on_request(9_000.0, True) == [HandOverAction.REJECT]  # it is shutting down
+
+
+def test_transfer_ends_before_a_message_is_late_and_a_slow_process_gets_more_time():
+    """Guards against late final answers, and against a process that can never take over under load."""
+    late_ms = 300.0
+    assert transfer_timeout_ms(0.0, 0) == LEAST_TRANSFER_TIMEOUT_MS < late_ms
+    assert transfer_timeout_ms(-50.0, 0) == LEAST_TRANSFER_TIMEOUT_MS
+    assert transfer_timeout_ms(400.0, 0) == LEAST_TRANSFER_TIMEOUT_MS + 400.0
+    assert transfer_timeout_ms(math.inf, 0) == TRANSFER_TIMEOUT_MS
+    timeouts = [transfer_timeout_ms(0.0, failed) for failed in range(6)]
+    assert timeouts == sorted(timeouts) and timeouts[-1] == TRANSFER_TIMEOUT_MS
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -215,6 +216,10 @@
         if is_suspended != self._context.is_suspended:
             self.suspend(is_suspended)
 
+    def first_deadline_ms(self) -> float:
+        """Return the earliest deadline of an open message, on the engine's clock; infinite without one."""
+        return min((each.deadline_ms for each in self._table if not each.is_completed), default=math.inf)
+
     def is_settled(self) -> bool:
         """Return whether all calls in flight have started, and the journal has no backlog."""
         if self._journal_retry.has_backlog:
--- a/winchspan/upgrade/hand_over_server.py
+++ b/winchspan/upgrade/hand_over_server.py
@@ -16,10 +16,10 @@
 
 from winchspan.upgrade.errors import HandOverError
 from winchspan.upgrade.state_machine import (
-    TRANSFER_TIMEOUT_MS,
     HandOverAction,
     HandOverState,
     HandOverStateMachine,
+    transfer_timeout_ms,
 )
 from winchspan.upgrade.undrained import Undrained
 from winchspan.upgrade.wire_protocol import (
@@ -63,6 +63,9 @@
     def cancel_undrained(self) -> None:
         """Cancel the calls and connections that did not drain in time."""
 
+    def time_to_deadline_ms(self) -> float:
+        """Return the time to the first deadline of an open message; 0 if a notification is due."""
+
     def freeze_and_export(self) -> StateTransfer:
         """Stop all timers and reads, and return the state; raises HandOverError."""
 
@@ -98,6 +101,7 @@
         self._actions = actions
         self._now = now
         self._machine = HandOverStateMachine()
+        self._failed_transfers = 0  # in a row
         self._socket: socket.socket | None = None
         self._task: asyncio.Task[None] | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -189,9 +193,10 @@
             return
         self._perform(actions, same_program=same_program)
         await self._drain()
+        time_to_deadline_ms = self._actions.time_to_deadline_ms()
         transfer = self._actions.freeze_and_export()
         frozen_ms = self._now()
-        await asyncio.wait_for(self._send(connection, transfer), TRANSFER_TIMEOUT_MS / 1_000.0)
+        await self._transfer(connection, transfer, time_to_deadline_ms)
         self._commit(connection)
         logger.info(
             "upgrade: handed over {} bytes and {} connections; drained in {:.0f} ms, frozen for {:.0f} ms",
@@ -201,6 +206,15 @@
             self._now() - frozen_ms,
         )
 
+    async def _transfer(
+        self, connection: socket.socket, transfer: StateTransfer, time_to_deadline_ms: float
+    ) -> None:
+        """Send the state, and wait until it has been read; raises TimeoutError."""
+        timeout_ms = transfer_timeout_ms(time_to_deadline_ms, self._failed_transfers)
+        self._failed_transfers += 1
+        await asyncio.wait_for(self._send(connection, transfer), timeout_ms / 1_000.0)
+        self._failed_transfers = 0
+
     async def _drain(self) -> None:
         """Wait until all remaining calls and connections can be handed over; raises HandOverError."""
         log_at_ms = self._now() + LONG_DRAIN_MS
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -90,6 +90,12 @@
                 connection.call.cancel()
         self._components.clients.abort_untransferable()
 
+    def time_to_deadline_ms(self) -> float:
+        """Return the time to the first deadline of an open message; 0 if a notification is due."""
+        if len(self._components.notifications):
+            return 0.0
+        return self._components.engine.first_deadline_ms() - self._components.clock.now()
+
     def freeze_and_export(self) -> StateTransfer:
         """Stop all timers and reads, and return the state.
 
--- a/winchspan/upgrade/state_machine.py
+++ b/winchspan/upgrade/state_machine.py
@@ -7,7 +7,23 @@
 
 DRAIN_TIMEOUT_MS: Final = 700.0  # longer than the limit for the rest of a partly received response
 CALL_DRAIN_TIMEOUT_MS: Final = 1_200.0  # drain timeout if calls in flight cannot be handed over
-TRANSFER_TIMEOUT_MS: Final = 1_500.0  # time for the new process to receive and decode the state
+TRANSFER_TIMEOUT_MS: Final = 1_500.0  # most time for the new process to receive and decode the state
+LEAST_TRANSFER_TIMEOUT_MS: Final = 200.0  # a message may end 300 ms after its deadline
+MAX_TIMEOUT_DOUBLINGS: Final = 3
+
+
+def transfer_timeout_ms(time_to_deadline_ms: float, failed_transfers: int) -> float:
+    """Return the time for a transfer, after which the frozen process resumes.
+
+    A message that expires meanwhile still ends in time. Where a new process has needed longer, its next
+    transfers get more time: otherwise a slow one could never take over under load.
+
+    Args:
+        time_to_deadline_ms: time to the first deadline of an open message; 0 if a notification is due.
+        failed_transfers: transfers that have timed out in a row.
+    """
+    least_ms = LEAST_TRANSFER_TIMEOUT_MS * (1 << min(failed_transfers, MAX_TIMEOUT_DOUBLINGS))
+    return min(TRANSFER_TIMEOUT_MS, least_ms + max(0.0, time_to_deadline_ms))
 
 
 class HandOverState(Enum):
