Hand the waits in force over to a program that decides differently

Callers would see: a destination that had asked for a wait was called 0.5 s behind its answer, by the process that took over. In an upgrade both processes are one courier, so that the wait binds both; only a restart ends it.

A wait in a response that delivered its messages, or a short one, was not there.

Change: the state for another program has the waits in force, of destinations and of routes, with their end on the monotonic clock that both processes share. The new process begins them before it recovers a message. Every version ignores keys that it does not know.

Measured: test_wait_binds_the_process_that_takes_over: other program 0.51 s of 4.0 s before, passes now; same program passed before.

--- a/tests/test_scheduling_guarantees.py
+++ b/tests/test_scheduling_guarantees.py
@@ -4,6 +4,7 @@
 
 from winchspan import api
 from winchspan.api import Effect, MessageClass, Outcome
+from winchspan.scheduling.state import RequestedWait, requested_waits
 
 from .helpers import CLASSES, MS, SECOND, SchedulerHarness
 from .slow_start_fleet import tolerance
@@ -251,3 +252,13 @@
     assert [message for message, _, _ in harness.sent] == ["a"]
     harness.handle(after=20 * MS)
     assert [message for message, _, _ in harness.sent] == ["a", "b"]
+
+
+@pytest.mark.parametrize(("kind", "endpoint"), [("", None), ("apart", 11)])
+def test_waits_in_force_name_the_route_where_routes_are_apart(kind: str, endpoint: int | None):
+    harness = SchedulerHarness(endpoints={1: [11, 12]}, kind=kind)
+    harness.handle(api.WaitRequested(1, 11, 900 * MS))
+    expected = RequestedWait(1, endpoint, harness.now + 900 * MS)
+    destinations = harness.scheduler.destinations.values()
+    assert requested_waits(destinations, harness.now + 899 * MS) == [expected]
+    assert requested_waits(destinations, harness.now + 900 * MS) == []
--- a/tests/test_upgrade_state_codec.py
+++ b/tests/test_upgrade_state_codec.py
@@ -33,7 +33,12 @@
 from winchspan.upgrade.errors import HandOverError, StateFormatError
 from winchspan.upgrade.records import MAGIC
 from winchspan.upgrade.state_codec import decode_state, encode_state
-from winchspan.upgrade.transferred_state import CourierState, IdleConnection, TransferredState
+from winchspan.upgrade.transferred_state import (
+    CourierState,
+    IdleConnection,
+    TransferredState,
+    TransferredWait,
+)
 from winchspan.upgrade.wire_protocol import MAX_STATE_BYTES
 
 from .compatibility.make import RECORDED
@@ -266,6 +271,12 @@
     assert list(plain) == ["drained", "clients"] and {type(row) for row in plain["clients"]} == {tuple}
 
 
+def test_waits_pass_to_another_program():
+    waits = [TransferredWait(7, None, 1_500.5), TransferredWait(8, "s-\udcff", 2_000.0)]
+    encoded = encode_state(TransferredState(is_out_of_service=False, clients=[], waits=waits))
+    assert decode_state(encoded).waits == waits
+
+
 def test_state_record_with_a_wrong_type_field_version_or_reference_is_rejected(tmp_path: Path):
     encoded = encode_state(transferred_state(busy_engine_state(World(tmp_path))))
 
--- a/tests/test_wait_processes.py
+++ b/tests/test_wait_processes.py
@@ -10,12 +10,22 @@
 
 import pytest
 
-from .loopback import Call, CourierHarness, encode_submit, reset_connection, wait_for
+from .loopback import (
+    ROOT,
+    WAIT_TIMEOUT_SECONDS,
+    Call,
+    CourierHarness,
+    encode_submit,
+    reset_connection,
+    wait_for,
+)
 from .test_crossings_calls import unread_byte_count
+from .test_upgrade_processes import copy_with_changed_scheduler
 
 SLOWEST_RESPONSE_SECONDS = 0.4
 LATE_BODY_SECONDS = 0.4  # behind the head, within the time for a response
 WAIT_MS = 1_200
+UPGRADE_WAIT_MS = 4_000
 CROSSING_SECONDS = 0.1  # calls that arrive within this time of the response cross it
 ROUNDING_SECONDS = 0.05  # of the times that this process reads
 
@@ -102,3 +112,24 @@
     answered_at = time.monotonic()
     first.answer(429, f"X-RateLimit-Wait-Ms: {WAIT_MS}")
     assert_next_call_heeds_the_wait(harness, answered_at)
+
+
+@pytest.mark.parametrize("differ", [False, True], ids=["same program", "other program"])
+def test_wait_binds_the_process_that_takes_over(harness: CourierHarness, tmp_path: Path, differ: bool):
+    """Guards against a new process that calls within a wait: in an upgrade both are one courier."""
+    harness.hold_listener()
+    harness.start()
+    client = harness.connect_client()
+    client.send(encode_submit("a") + encode_submit("b"))
+    (call,) = harness.wait_for_calls(1)
+    answered_at = time.monotonic()
+    call.answer(200, f"X-RateLimit-Wait-Ms: {UPGRADE_WAIT_MS}")
+    wait_for("the response is read", lambda: "attempt completed" in harness.read_log())
+    previous = harness.process
+    assert previous is not None
+    harness.program = copy_with_changed_scheduler(tmp_path / "other") if differ else ROOT
+    harness.start_process()
+    assert previous.wait(WAIT_TIMEOUT_SECONDS) == 0
+    harness.submit(encode_submit("next"))
+    harness.wait_for_calls(2)
+    assert time.monotonic() - answered_at >= UPGRADE_WAIT_MS / 1_000 - ROUNDING_SECONDS
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -39,6 +39,7 @@
 from winchspan.runtime.clock import ms_to_ns
 from winchspan.runtime.metrics import Metrics
 from winchspan.scheduling.scheduler import Scheduler
+from winchspan.scheduling.state import RequestedWait, requested_waits
 from winchspan.storage.journal_records import JournalEntry
 
 
@@ -170,6 +171,11 @@
         """Report a response that asks for a pause of `wait_ms`, before the result of its attempt."""
         self._events.post(api.WaitRequested(destination, endpoint, ms_to_ns(wait_ms)))
 
+    def requested_waits(self) -> list[RequestedWait]:
+        """Return the waits in force."""
+        destinations = self._context.scheduler.destinations.values()
+        return requested_waits(destinations, ms_to_ns(self._context.clock.now()))
+
     # ---- lifecycle ---------------------------------------------------------------------------------------
     def recover(self) -> None:
         """Resume the open messages of the previous incarnation, in the order of their acceptance."""
--- a/winchspan/net/endpoint_directory.py
+++ b/winchspan/net/endpoint_directory.py
@@ -232,6 +232,10 @@
         ]
 
     # ---- endpoints taken offline by operators ------------------------------------------------------------
+    def number_of(self, name: str | None, destination: int) -> int:
+        """Return the number of an endpoint; 0 if it has never been listed for the destination."""
+        return 0 if name is None else self._numbers.get((name, destination), 0)
+
     def knows(self, name: str) -> bool:
         """Return whether the name of an endpoint is offline, or has been listed and is still stored."""
         return name in self._known_names or name in self.offline_names
--- a/winchspan/scheduling/state.py
+++ b/winchspan/scheduling/state.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, NamedTuple
 
 from winchspan.api import Effect, MessageClass, Settings
 from winchspan.scheduling.slow_start import SlowStart
@@ -167,3 +168,28 @@
     def l_max(self, message_class: MessageClass) -> int:
         """Return the pessimistic cost of a class; its latency objective until the first call completes."""
         return self.costs_ns.setdefault(message_class.name, message_class.latency_objective_ns)
+
+
+class RequestedWait(NamedTuple):
+    """A wait in force that a response has asked for.
+
+    Attributes:
+        destination: the destination's number.
+        endpoint: the endpoint whose route alone it binds; None: it binds the whole destination.
+        until_ns: the clock reading at which it ends.
+    """
+
+    destination: int
+    endpoint: int | None
+    until_ns: int
+
+
+def requested_waits(destinations: Iterable[Destination], now: int) -> list[RequestedWait]:
+    """Return the waits that end after `now`."""
+    waits = []
+    for destination in destinations:
+        shared = destination.limit
+        waits.append(RequestedWait(destination.id, None, shared.retry_after_ns))
+        routes = [endpoint for endpoint in destination.endpoints.values() if endpoint.limit is not shared]
+        waits += [RequestedWait(destination.id, each.id, each.limit.retry_after_ns) for each in routes]
+    return [wait for wait in waits if wait.until_ns > now]
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -8,11 +8,17 @@
 from loguru import logger
 
 from winchspan.net.http_connection import HttpConnection
+from winchspan.runtime.clock import ns_to_ms
 from winchspan.upgrade.courier_components import CourierComponents
 from winchspan.upgrade.errors import HandOverError
 from winchspan.upgrade.hand_over_server import StateTransfer
 from winchspan.upgrade.state_codec import encode_state
-from winchspan.upgrade.transferred_state import CourierState, IdleConnection, TransferredState
+from winchspan.upgrade.transferred_state import (
+    CourierState,
+    IdleConnection,
+    TransferredState,
+    TransferredWait,
+)
 from winchspan.upgrade.undrained import Undrained
 
 
@@ -118,6 +124,7 @@
             classes=self._components.engine.export_classes(),
         )
         if not self._same_program:
+            state.waits = self._waits()
             return self._export(state, client_descriptors)
         state.courier = self._courier_state(busy, idle)
         busy_descriptors = [connection.fileno() for connection in busy]
@@ -174,6 +181,19 @@
         if not self._components.journal.flush_backlog():
             raise HandOverError("the journal cannot be written; its disk may be full")
 
+    def _waits(self) -> list[TransferredWait]:
+        """Return the waits in force; those of endpoints that are not known any more are left out."""
+        endpoints = self._components.endpoint_directory.endpoints
+        return [
+            TransferredWait(
+                wait.destination,
+                None if wait.endpoint is None else endpoints[wait.endpoint].name,
+                ns_to_ms(wait.until_ns),
+            )
+            for wait in self._components.engine.requested_waits()
+            if wait.endpoint is None or wait.endpoint in endpoints
+        ]
+
     def _courier_state(self, busy: list[HttpConnection], idle: list[HttpConnection]) -> CourierState:
         now_ms = self._components.clock.now()
         calls = [connection.call for connection in busy if connection.call is not None]
--- a/winchspan/upgrade/legacy_pickle.py
+++ b/winchspan/upgrade/legacy_pickle.py
@@ -4,7 +4,8 @@
 `{"drained": bool, "clients": [(unread bytes, is answered, faults, since ms), ...]}`. Every version reads it,
 so its form must not change. Every version ignores further keys: `received_after` (of the clients, ms or None)
 `ended` (since when it is complete, and a list of id, end and whether delivered), `configuration` (the
-fields of `ConfigurationInForce`) and `classes` (those of `ClassesState`).
+fields of `ConfigurationInForce`), `classes` (those of `ClassesState`) and `waits` (a list of those of
+`TransferredWait`).
 
 Between programs of the same fingerprint, versions up to 5bc3544 pickled their live objects. The tables below
 map the names in such a state to the present ones. They can be removed once no supported version writes it.
@@ -26,7 +27,12 @@
 from winchspan.upgrade import legacy_overload, legacy_scheduling
 from winchspan.upgrade.errors import StateFormatError
 from winchspan.upgrade.restricted_pickle import RestrictedUnpickler, dump, load_with
-from winchspan.upgrade.transferred_state import CourierState, IdleConnection, TransferredState
+from winchspan.upgrade.transferred_state import (
+    CourierState,
+    IdleConnection,
+    TransferredState,
+    TransferredWait,
+)
 
 # Converts the attributes of an old instance to the present ones.
 _Converter: TypeAlias = Callable[[Mapping[str, Any]], Mapping[str, Any]]
@@ -117,6 +123,8 @@
         fields["configuration"] = tuple(state.configuration)
     if state.classes is not None:
         fields["classes"] = tuple(state.classes)
+    if state.waits:
+        fields["waits"] = [tuple(wait) for wait in state.waits]
     return dump(fields)
 
 
@@ -144,6 +152,7 @@
         ended=_ended_messages(fields["ended"]) if "ended" in fields else None,
         configuration=ConfigurationInForce(*fields["configuration"]) if "configuration" in fields else None,
         classes=ClassesState(*fields["classes"]) if "classes" in fields else None,
+        waits=[TransferredWait(*wait) for wait in fields.get("waits", [])],
     )
     if "courier" in fields:
         state.courier = CourierState(
--- a/winchspan/upgrade/restore.py
+++ b/winchspan/upgrade/restore.py
@@ -11,7 +11,7 @@
 from winchspan.runtime.system import System
 from winchspan.upgrade.courier_components import CourierComponents
 from winchspan.upgrade.take_over import InheritedState
-from winchspan.upgrade.transferred_state import CourierState, TransferredState
+from winchspan.upgrade.transferred_state import CourierState, TransferredState, TransferredWait
 
 
 def restore_courier(
@@ -38,6 +38,7 @@
     if state.courier is not None:
         _restore_engine(components, state.courier, sockets[:call_count])
     else:
+        _restore_waits(components, state.waits)
         components.engine.recover()
     for sock, client in zip(sockets[call_count:], state.clients, strict=False):
         components.clients.adopt(loop, sock, client, inherited.drain_requested_ms)
@@ -46,6 +47,15 @@
         components.clients.begin_drain()
 
 
+def _restore_waits(components: CourierComponents, waits: list[TransferredWait]) -> None:
+    """Begin the waits of the other process, before any message is recovered."""
+    now_ms = components.clock.now()
+    for wait in waits:
+        number = components.endpoint_directory.number_of(wait.endpoint_name, wait.destination)
+        if wait.until_ms > now_ms:
+            components.engine.begin_wait(wait.destination, number, wait.until_ms - now_ms)
+
+
 def _restore_engine(
     components: CourierComponents, courier: CourierState, sockets: list[socket.socket]
 ) -> None:
--- a/winchspan/upgrade/transferred_state.py
+++ b/winchspan/upgrade/transferred_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from winchspan.config.platform import ConfigurationInForce
@@ -44,6 +44,20 @@
     idle_connections: list[IdleConnection]
 
 
+class TransferredWait(NamedTuple):
+    """A wait that a destination has asked for.
+
+    Attributes:
+        destination: the destination's number.
+        endpoint_name: the endpoint whose route alone it binds; None: it binds the whole destination.
+        until_ms: when it ends, in ms of the monotonic clock, which both processes share.
+    """
+
+    destination: int
+    endpoint_name: str | None
+    until_ms: float
+
+
 @dataclass(slots=True)
 class TransferredState:
     """The state that a new process takes over, in addition to the descriptors of the connections.
@@ -57,6 +71,7 @@
         configuration: the configuration in force; None from a program that does not tell.
         classes: the message classes in force; None from a program that does not tell.
         courier: None from a program of another fingerprint. The new process then recovers from the journal.
+        waits: the waits in force, which `courier` contains otherwise.
     """
 
     is_out_of_service: bool
@@ -65,3 +80,4 @@
     configuration: ConfigurationInForce | None = None
     classes: ClassesState | None = None
     courier: CourierState | None = None
+    waits: list[TransferredWait] = field(default_factory=list)
