Keep the wait of a destination whose endpoints leave the list and return

Callers would see: a destination that had asked for a long wait, lost all its endpoints for over cold_ns and got one back within the wait, was called at once.

Cause: the scheduler forgets an endpoint that has not been listed for cold_ns, and a destination without endpoints; their waits went with them.

Change: both are kept while their wait lasts.

Measured: test_retry_after_holds_while_its_endpoints_leave_the_list_and_return, shared limit and routes: both called 16 s before the end of the wait before, pass now.

--- a/tests/test_scheduling_guarantees.py
+++ b/tests/test_scheduling_guarantees.py
@@ -262,3 +262,24 @@
     destinations = harness.scheduler.destinations.values()
     assert requested_waits(destinations, harness.now + 899 * MS) == [expected]
     assert requested_waits(destinations, harness.now + 900 * MS) == []
+
+
+@pytest.mark.parametrize("kind", ["", "apart"])
+def test_retry_after_holds_while_its_endpoints_leave_the_list_and_return(kind: str):
+    """Guards against a wait that is forgotten with the last endpoint of its destination."""
+    harness = SchedulerHarness(kind=kind)
+    harness.handle(api.WaitRequested(1, 11, 60 * SECOND))
+    harness.handle(api.WaitRequested(3, 99, 60 * SECOND))
+    harness.update_endpoints({2: [21]})
+    for _ in range(4):
+        harness.handle(after=11 * SECOND)
+        harness.update_endpoints({2: [21]})
+    harness.update_endpoints({1: [11], 2: [21], 3: [31]}, kind)
+    harness.submit("a")
+    harness.handle(after=10 * SECOND)
+    assert not harness.sent
+    assert {
+        wait.destination for wait in requested_waits(harness.scheduler.destinations.values(), harness.now)
+    } == {1, 3}
+    harness.handle(after=10 * SECOND)
+    assert [message for message, _, _ in harness.sent] == ["a"]
--- a/winchspan/scheduling/scheduler.py
+++ b/winchspan/scheduling/scheduler.py
@@ -202,12 +202,16 @@
 
     def _remove_unlisted(self) -> None:
         for endpoint in [each for each in self.endpoints.values() if not each.call_count]:
-            if endpoint.unlisted_ns is not None and self.now - endpoint.unlisted_ns > self.settings.cold_ns:
+            is_waiting = endpoint.limit.retry_after_ns > self.now
+            if endpoint.unlisted_ns is None or is_waiting:
+                continue
+            if self.now - endpoint.unlisted_ns > self.settings.cold_ns:
                 del self.endpoints[endpoint.id]
                 for destination in self.destinations.values():
                     destination.endpoints.pop(endpoint.id, None)
         for destination in list(self.destinations.values()):
-            if not destination.endpoints and destination.order not in self.active:
+            is_waiting = destination.limit.retry_after_ns > self.now
+            if not destination.endpoints and not is_waiting and destination.order not in self.active:
                 # This includes one that was still active when its last endpoint was removed.
                 del self.destinations[destination.id]
 
