Count a held response when its message can wait no longer

Cause: a 200 that is faster than all others of its endpoint is held for up to 2 s. Where the message's time ended meanwhile, the scheduler rejected it, and the delivery counted for nothing.

The connection of a response that is accepted early is closed.

Why this works: a held response counts if the connection ends or noise follows; the end of the message is the same kind of end, and takes the evidence there is.

--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -40,6 +40,9 @@
     def drop_unwanted_messages(self) -> None:
         self.drop_count += 1
 
+    def accept_held_response(self) -> None:
+        pass
+
     def end(self, *results: AttemptResult) -> None:
         self.on_results([*results] if len(results) == len(self.messages) else [*results] * len(self.messages))
 
--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -19,6 +19,7 @@
 from .loopback import HOST, CourierHarness, Server, encode_submit, message_class, reset_connection, wait_for
 
 JOURNAL_LIMIT_BYTES = 1_000_000
+SLOWEST_RESPONSE_SECONDS = 1.5
 
 
 @pytest.fixture
@@ -388,3 +389,22 @@
     harness.submit(encode_submit("next", remaining_ms=300))
     harness.wait_for_notification("next")
     assert harness.discovery.final_state("brief") is None, "an acknowledged notification is not sent again"
+
+
+def test_message_whose_time_ends_while_its_response_is_held_is_delivered(harness: CourierHarness):
+    """Guards against a notification of a message that was delivered, as its response was fast."""
+    harness.list_endpoint("s-8", harness.endpoint, dest=8)
+    harness.discovery.change_endpoint("s-8", health="draining")
+    harness.start()
+    harness.submit(encode_submit("slow"))
+    (slow,) = harness.wait_for_calls(1)
+    time.sleep(SLOWEST_RESPONSE_SECONDS)
+    slow.answer()
+    harness.submit(
+        encode_submit("held", remaining_ms=1_200), encode_submit("later", dest=8, remaining_ms=1_600)
+    )
+    call = harness.wait_for_calls(2)[1]
+    assert call.ids == ["held"]
+    call.answer()
+    harness.wait_for_notification("later", "returned")
+    assert harness.discovery.final_state("held") is None
--- a/winchspan/delivery/final_answers.py
+++ b/winchspan/delivery/final_answers.py
@@ -41,6 +41,10 @@
         message = self._table.find(message_id)
         if message is None or message.is_completed:
             return
+        if message.attempt is not None and message.attempt.call is not None:
+            message.attempt.call.accept_held_response()  # it may have been delivered
+            if message.is_completed:
+                return
         late_ms = self._clock.now() - message.deadline_ms
         if late_ms > LATE_MS:
             logger.info("message {} ends {:.0f} ms after its deadline: {}", message_id, late_ms, state)
--- a/winchspan/delivery/messages.py
+++ b/winchspan/delivery/messages.py
@@ -21,6 +21,9 @@
     def drop_unwanted_messages(self) -> None:
         """Remove messages that are no longer wanted, unless the call has been written."""
 
+    def accept_held_response(self) -> None:
+        """Report the result of a response that is held, since its messages can wait no longer."""
+
 
 class AttemptRecord(NamedTuple):
     """One attempt in the failure history of a message.
--- a/winchspan/fakes/rehearsal_in_process.py
+++ b/winchspan/fakes/rehearsal_in_process.py
@@ -123,6 +123,9 @@
         if self._timers.is_alive:
             self._report([result] * len(self._messages))
 
+    def accept_held_response(self) -> None:
+        """Do nothing: no response is held."""
+
     def drop_unwanted_messages(self) -> None:
         """Drop nothing: the whole call has been written."""
 
--- a/winchspan/net/http_call.py
+++ b/winchspan/net/http_call.py
@@ -65,6 +65,9 @@
     def abort(self) -> None:
         """Close the connection immediately."""
 
+    def accept_held_response(self) -> None:
+        """Complete its call with the response that is held; has no effect without one."""
+
     def has_unread_input(self) -> bool:
         """Return whether the loop has not yet read received bytes or the end of the stream."""
 
@@ -138,6 +141,11 @@
         if self.connection is not None and self.connection.is_partially_written:
             self.abort(HttpCallOutcome.RECALLED)
 
+    def accept_held_response(self) -> None:
+        """Complete the call with the response that is held; has no effect without one."""
+        if self.connection is not None and self.forced_outcome is None:
+            self.connection.accept_held_response()
+
     def recall(self) -> None:
         """Withdraw the call, unless it has been written."""
         if self.connection is not None and not self.connection.is_written:
@@ -147,7 +155,7 @@
         """Abort the call by closing its connection.
 
         Reads the input that has arrived first. Guards against losing a response that arrives just before the
-        abort: its backoff must be respected, and its delivery counts.
+        abort: its backoff must be respected, and its delivery counts. A response that is held counts at once.
         """
         if self.on_result is None or self.forced_outcome is not None or self.connection is None:
             return
@@ -155,6 +163,9 @@
             self.is_final_read_scheduled = True
             self.connection.call_after_next_poll(lambda: self.abort(outcome))
             return
+        self.accept_held_response()
+        if self.on_result is None:
+            return
         self.forced_outcome = outcome
         self.connection.abort()
 
--- a/winchspan/net/http_connection.py
+++ b/winchspan/net/http_connection.py
@@ -156,6 +156,15 @@
         """Whether the response of its call has come, and may belong to an earlier one."""
         return self._reader.order.held is not None
 
+    def accept_held_response(self) -> None:
+        """Complete its call with the response that is held; has no effect without one.
+
+        The connection is closed then: a second response may still come.
+        """
+        if self.call is not None and self.has_held_response:
+            self._reader.is_out_of_order = True
+            self._reader.accept_held(self.call)
+
     def has_unread_input(self) -> bool:
         """Return whether the loop has not yet read received bytes or the end of the stream.
 
--- a/winchspan/net/response_reader.py
+++ b/winchspan/net/response_reader.py
@@ -142,7 +142,7 @@
                 until_ms - now_ms,
             )
             self.order.hold(call.parser, now_ms)
-            self._hold_timer = self._context.call_at(until_ms, lambda: self._accept_held(call))
+            self._hold_timer = self._context.call_at(until_ms, lambda: self.accept_held(call))
             self._expect_another(call)
             return
         if self.take_held() is not None:
@@ -165,8 +165,8 @@
         if len(self.buffer):
             self._parse(call)
 
-    def _accept_held(self, call: HttpCall) -> None:
-        """Pass on the response that is held, since no other one has come."""
+    def accept_held(self, call: HttpCall) -> None:
+        """Pass on the response that is held, since no other one has come; has no effect without one."""
         held = self.take_held()
         if held is None or call.on_result is None:
             return
@@ -183,7 +183,7 @@
             call.abort(HttpCallOutcome.INVALID_RESPONSE)
             return
         self.is_out_of_order = True
-        self._accept_held(call)
+        self.accept_held(call)
 
     @staticmethod
     def _stop_response_timer(call: HttpCall) -> None:
