--- a/tests/test_simulation_environment.py
+++ b/tests/test_simulation_environment.py
@@ -62,4 +62,6 @@
         "upgrade",
         "hang",
         "copies",
+        "replace",
+        "waits",
     }
--- a/winchspan/fakes/partner.py
+++ b/winchspan/fakes/partner.py
@@ -96,12 +96,15 @@
         settings: its parameters.
         observations: times of events, for audits.
         copies_responses: whether its endpoints send a second copy of each response.
+        asks_to_wait_in_batches: whether its endpoints answer the messages of a call one by one where they
+            reject them all, and ask for a wait in some responses that deliver all messages of a call.
     """
 
     def __init__(self, settings: PartnerSettings, clock: Clock, timers: TimerQueue) -> None:
         self.settings = settings
         self.observations = PartnerObservations()
         self.copies_responses = False
+        self.asks_to_wait_in_batches = False
         self._clock = clock
         self._timers = timers
         self._outage_mode: OutageMode | None = None
--- a/winchspan/fakes/partner_endpoint.py
+++ b/winchspan/fakes/partner_endpoint.py
@@ -17,6 +17,10 @@
 SINGLE_PATH: Final = "/hook"
 BATCH_PATH: Final = "/hook/batch"
 
+WAIT_HEADER: Final = "X-RateLimit-Wait-Ms"
+BATCH_WAITS_MS: Final = (0.0, 400.0, 0.0, 0.0, 1_200.0, 0.0, 250.0)
+"""Waits that the responses to delivered calls of several messages ask for, by turns."""
+
 COPY_DELAYS_SECONDS: Final = (0.003, 0.012, 0.025, 0.045)
 """Times from a response to its second copy, by turns; none is sent once a further request has arrived."""
 
@@ -62,6 +66,12 @@
     return [_Delivery(row["id"], row.get("key", "")) for row in rows]
 
 
+def _format_batch_response(deliveries: list[_Delivery], state: str, wait_ms: float) -> bytes:
+    states = [{"id": delivery.message_id, "state": state} for delivery in deliveries]
+    headers = ((WAIT_HEADER, f"{wait_ms:.0f}"),) if wait_ms > 0.0 else ()
+    return answer(200, json.dumps(states).encode(), headers=headers)
+
+
 class PartnerEndpoint:
     """One endpoint of a partner.
 
@@ -78,6 +88,7 @@
         self.server = Server(self._serve)
         self._show = show
         self._copy_delays = cycle(COPY_DELAYS_SECONDS)
+        self._batch_waits_ms = cycle(BATCH_WAITS_MS)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         copy_timer: asyncio.TimerHandle | None = None
@@ -110,18 +121,20 @@
                 self.clients.delivered(delivery.message_id)
             self._show(f"delivered {delivery.message_id}")
 
-    @staticmethod
     def _format_response(
-        request: Request, reply: Reply, wait_ms: float, deliveries: list[_Delivery]
+        self, request: Request, reply: Reply, wait_ms: float, deliveries: list[_Delivery]
     ) -> bytes:
+        if request.path == BATCH_PATH and self.partner.asks_to_wait_in_batches:
+            if reply is Reply.OK:
+                return _format_batch_response(deliveries, "ok", next(self._batch_waits_ms))
+            return _format_batch_response(deliveries, "later", wait_ms)
         if reply is Reply.FULL and wait_ms > 0.0:
-            return answer(429, headers=(("X-RateLimit-Wait-Ms", f"{wait_ms:.0f}"),))
+            return answer(429, headers=((WAIT_HEADER, f"{wait_ms:.0f}"),))
         if reply is Reply.FULL:
             return answer(503)
         if request.path == SINGLE_PATH:
             return answer(200)
-        states = [{"id": delivery.message_id, "state": "ok"} for delivery in deliveries]
-        return answer(200, json.dumps(states).encode())
+        return _format_batch_response(deliveries, "ok", 0.0)
 
     async def _execute(self, reader: asyncio.StreamReader) -> _PartnerReply:
         """Return the partner's reply to a call; DOWN if the courier closes the connection before it."""
--- a/winchspan/simulation/emulated_courier.py
+++ b/winchspan/simulation/emulated_courier.py
@@ -205,8 +205,8 @@
         )
         return next(names, "")
 
-    def upgrade(self) -> None:
-        """Start an upgrade to a new process, if the courier serves."""
+    def upgrade(self, *, same_program: bool = True) -> None:
+        """Start an upgrade to a new process of the same or of another program, if the courier serves."""
         incarnation = self.machine.incarnation
         listener = self.machine.network.find_listener(self.port)
         if not self.is_serving or self._application is None or incarnation is None or listener is None:
@@ -217,7 +217,9 @@
             self.upgrade_count += 1
             self._start_incarnation(inherited, listener)
 
-        self._upgrade = EmulatedUpgrade(self._application, incarnation, listener, start_successor)
+        self._upgrade = EmulatedUpgrade(
+            self._application, incarnation, listener, start_successor, same_program=same_program
+        )
         self._upgrade.start()
 
     def use_changed_settings(self) -> None:
--- a/winchspan/simulation/emulated_upgrade.py
+++ b/winchspan/simulation/emulated_upgrade.py
@@ -54,6 +54,8 @@
         incarnation: Incarnation,
         listener: EmulatedListener,
         start_successor: Callable[[InheritedState], None],
+        *,
+        same_program: bool,
     ) -> None:
         """Prepare a hand-over.
 
@@ -62,11 +64,13 @@
             incarnation: process of the serving courier.
             listener: the clients' listening socket, which stays open.
             start_successor: starts the next incarnation with inherited state, once `incarnation` has ended.
+            same_program: whether the new process is of the same program.
         """
         self.is_over = False
         self._incarnation = incarnation
         self._listener = listener
         self._start_successor = start_successor
+        self._same_program = same_program
         self._loop = incarnation.network.loop
         self._state_machine = HandOverStateMachine()
         self._source = _EmulatedHandOverSource(
@@ -76,7 +80,7 @@
 
     def start(self) -> None:
         """Request the hand-over, as a new process would."""
-        self._execute(self._state_machine.on_request(self._now_ms(), True))
+        self._execute(self._state_machine.on_request(self._now_ms(), self._same_program))
         self._loop.call_later(DRAIN_POLL_SECONDS, self._poll)
 
     def _now_ms(self) -> float:
@@ -125,7 +129,7 @@
         for action in actions:
             match action:
                 case HandOverAction.START_DRAIN:
-                    self._source.start_drain(True)
+                    self._source.start_drain(self._same_program)
                 case HandOverAction.CANCEL_UNDRAINED:
                     self._source.cancel_undrained()
                 case HandOverAction.COMMIT:
--- a/winchspan/simulation/environment.py
+++ b/winchspan/simulation/environment.py
@@ -57,14 +57,23 @@
     """The courier `source` runs with changed settings for the duration."""
     UPGRADE = "upgrade"
     """A new process takes over from the courier `source`."""
+    UPGRADE_TO_OTHER_PROGRAM = "replace"
+    """A new process that decides differently takes over from the courier `source`."""
     SUSPEND = "hang"
     """The process of the courier `source` is suspended for the duration."""
     RESPONSE_COPIES = "copies"
     """The endpoints of the partner `source` send a second copy of each response for the duration."""
+    BATCH_WAITS = "waits"
+    """The endpoints of the partner `source` answer batches message by message, often with a wait."""
 
 
 NETWORK_FAULTS: Final = frozenset(
-    {FaultKind.PARTITION, FaultKind.RESET_CONNECTIONS, FaultKind.RESPONSE_COPIES}
+    {
+        FaultKind.PARTITION,
+        FaultKind.RESET_CONNECTIONS,
+        FaultKind.RESPONSE_COPIES,
+        FaultKind.BATCH_WAITS,
+    }
 )
 """Faults that apply to other hosts too; all other faults apply to a courier."""
 
--- a/winchspan/simulation/fault_injector.py
+++ b/winchspan/simulation/fault_injector.py
@@ -22,6 +22,9 @@
 SETTINGS_DELAY_SECONDS: Final = 1.2
 """Time after SIGHUP by which new settings must be in force, according to the platform's specification."""
 
+RESPONSE_FAULTS: Final = (FaultKind.RESPONSE_COPIES, FaultKind.BATCH_WAITS)
+"""Faults of the responses of a partner."""
+
 _ONLINE_RETRY_SECONDS: Final = 0.1
 
 
@@ -74,19 +77,23 @@
             self._loop.call_later(fault.duration_ms / MS_PER_SECOND, self._network.links.heal, link)
         elif fault.kind is FaultKind.RESET_CONNECTIONS:
             self._network.reset_connections(fault.source, fault.target or None)
-        elif fault.kind is FaultKind.RESPONSE_COPIES:
-            self._set_copies_responses(fault.source, copies_responses=True)
-            end_copies = partial(self._set_copies_responses, fault.source, copies_responses=False)
-            self._loop.call_later(fault.duration_ms / MS_PER_SECOND, end_copies)
+        elif fault.kind in RESPONSE_FAULTS:
+            self._set_response_fault(fault, is_active=True)
+            end = partial(self._set_response_fault, fault, is_active=False)
+            self._loop.call_later(fault.duration_ms / MS_PER_SECOND, end)
         else:
             (courier,) = (other for other in self._couriers if other.machine.host == fault.source)
             if not self._inject_into_machine(fault, courier):
                 self._inject_as_operator(fault, courier)
 
-    def _set_copies_responses(self, host: str, *, copies_responses: bool) -> None:
+    def _set_response_fault(self, fault: InjectedFault, *, is_active: bool) -> None:
         for number, partner in self._find_partners().items():
-            if partner_host(number) == host:
-                partner.copies_responses = copies_responses
+            if partner_host(number) != fault.source:
+                continue
+            if fault.kind is FaultKind.RESPONSE_COPIES:
+                partner.copies_responses = is_active
+            else:
+                partner.asks_to_wait_in_batches = is_active
 
     def _inject_into_machine(self, fault: InjectedFault, courier: EmulatedCourier) -> bool:
         """Inject a fault of a machine or process; return False if the fault is of another kind."""
@@ -111,6 +118,8 @@
         match fault.kind:
             case FaultKind.UPGRADE:
                 courier.upgrade()
+            case FaultKind.UPGRADE_TO_OTHER_PROGRAM:
+                courier.upgrade(same_program=False)
             case FaultKind.DRAIN:
                 courier.request("/control/out-of-service")
                 duration_seconds = fault.duration_ms / MS_PER_SECOND
