--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,8 @@
 
 Clients reuse their connections while these stay open. Couriers get SIGHUP, SIGTERM that is followed by
 SIGKILL at the earliest time that the platform allows, or SIGKILL alone, and start again in their data
-directories. At the end the observations of clients, endpoints and the platform are audited.
+directories; on days with upgrades new processes of the same or of another program take over from them. At
+the end the observations of clients, endpoints and the platform are audited.
 """
 
 from __future__ import annotations
@@ -18,13 +19,14 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import NamedTuple
 
 from winchspan.fakes.courier_process import CourierProcess
 from winchspan.fakes.event_loop_stall_monitor import EventLoopStallMonitor
 from winchspan.fakes.scenario import Scenario
 from winchspan.fakes.sockets import HOST
 
-from .loopback import PING, encode_submit
+from .loopback import PING, ROOT, encode_submit
 from .slow_start_processes import (
     DESTINATION,
     LISTED_RATE_FRACTION,
@@ -36,6 +38,7 @@
     ProcessFleet,
     worst_overload,
 )
+from .test_upgrade_processes import copy_with_changed_scheduler
 
 CLASSES = {"order-payment": 24_000, "gallery-notice": 5_000}  # deadline in ms, by class
 KEYED_CLASS = "order-payment"
@@ -49,8 +52,20 @@
 IDLE_CLIENT_SECONDS = 2.0
 OUTAGE_FAULTS = (Fault.HANG, Fault.RESET, Fault.ERROR, Fault.REJECT)
 SIGNAL_SERIES_SHARE = 0.4  # share of days with `has_signal_series`
+UPGRADE_SECONDS = 6.0  # upper bound on the time until the previous process has ended
+UPGRADE_GAP_SECONDS = (0.5, 2.5)  # between two upgrades of one courier
+UPGRADES = (1, 2, 3)  # of one courier
 SECOND_TERM_SECONDS = 0.5  # from the first SIGTERM to the second
 TIMED_OUT = b"timed out"
+OTHER_PROGRAM = "other"
+
+
+class Upgrade(NamedTuple):
+    """An upgrade: seconds from the start of traffic, the courier's number, and the kind of program."""
+
+    at_seconds: float
+    courier: int
+    is_other_program: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,6 +80,7 @@
         reloads: SIGHUP, in the same form.
         idle_clients: the number of idle clients of each courier.
         has_signal_series: whether SIGHUP is sent right before each SIGTERM, and a second SIGTERM after it.
+        upgrades: new processes that take over; with any, the couriers' listening sockets are held.
     """
 
     seed: int
@@ -74,6 +90,7 @@
     reloads: tuple[tuple[float, int], ...]
     idle_clients: int
     has_signal_series: bool
+    upgrades: tuple[Upgrade, ...] = ()
 
     @property
     def traffic_seconds(self) -> float:
@@ -82,7 +99,7 @@
         return fleet.warm_up_seconds + fleet.outage_seconds + fleet.watched_seconds
 
 
-def draw_day(seed: int, *, couriers: int | None = None) -> SoakDay:
+def draw_day(seed: int, *, couriers: int | None = None, has_upgrades: bool = False) -> SoakDay:
     """Draw a day from a seed; `couriers` overrides the number of couriers."""
     rng = random.Random(seed)
     count = couriers or rng.choice((3, 6, 10, 20, 40))
@@ -105,7 +122,20 @@
     )
     idle_clients = rng.choice((0, 0, 0, 40))
     has_signal_series = rng.random() < SIGNAL_SERIES_SHARE
-    return SoakDay(seed, fleet, terms, kills, reloads, idle_clients, has_signal_series)
+    upgrades = draw_upgrades(seed, count, total_seconds) if has_upgrades else ()
+    return SoakDay(seed, fleet, terms, kills, reloads, idle_clients, has_signal_series, upgrades)
+
+
+def draw_upgrades(seed: int, couriers: int, total_seconds: float) -> tuple[Upgrade, ...]:
+    """Draw series of upgrades, from random numbers of their own: the other events of a seed remain."""
+    rng = random.Random(f"upgrades of {seed}")
+    upgrades = []
+    for number in rng.sample(range(couriers), k=max(2, couriers // 4)):
+        at_seconds = rng.uniform(1.0, total_seconds - 3.0)
+        for _ in range(rng.choice(UPGRADES)):
+            upgrades.append(Upgrade(at_seconds, number, rng.random() < 0.5))
+            at_seconds += rng.uniform(*UPGRADE_GAP_SECONDS)
+    return tuple(upgrades)
 
 
 @dataclass(slots=True)
@@ -376,6 +406,8 @@
         finally:
             for courier in self._couriers:
                 courier.kill()
+                if courier.listener is not None:
+                    courier.listener.close()
             self._destination.close()
             self._platform.close()
         self._audit.overload = worst_overload(self._day.fleet, self._destination.arrivals)
@@ -383,11 +415,15 @@
 
     async def _start_couriers(self) -> None:
         scenario = Scenario(partners=(), streams=(), couriers=self._day.fleet.couriers)
+        if self._day.upgrades:
+            copy_with_changed_scheduler(self._folder / OTHER_PROGRAM)
         for number in range(self._day.fleet.couriers):
             directory = self._folder / f"n{number}"
             directory.mkdir()
             courier = CourierProcess(directory, number, None)
             courier.configure(scenario, self._platform.port, self._platform.snapshot)
+            if self._day.upgrades:
+                courier.hold_listener()
             courier.start()
             self._couriers.append(courier)
             self._clients.append(SoakClient(self._day, number, courier.port, self._audit))
@@ -421,6 +457,10 @@
         events += [
             asyncio.create_task(self._run_after(at, self._reload(number))) for at, number in day.reloads
         ]
+        events += [
+            asyncio.create_task(self._run_after(upgrade.at_seconds, self._upgrade(upgrade)))
+            for upgrade in day.upgrades
+        ]
         await asyncio.sleep(day.fleet.warm_up_seconds)
         self._destination.begin_outage()
         await asyncio.sleep(day.fleet.outage_seconds)
@@ -476,6 +516,25 @@
         courier.kill()
         await self._restart(number, begin)
 
+    async def _upgrade(self, upgrade: Upgrade) -> None:
+        """Start a process that takes over; no message may end late, and no request stay unanswered."""
+        number = upgrade.courier
+        if number in self._restarting:
+            return
+        self._restarting.add(number)
+        courier, other = self._couriers[number], self._folder / OTHER_PROGRAM
+        if upgrade.is_other_program:
+            courier.program = other if courier.program != other else ROOT
+        previous = courier.start_successor()
+        limit = time.monotonic() + UPGRADE_SECONDS
+        while previous.poll() is None and time.monotonic() < limit:
+            await asyncio.sleep(0.01)
+        if previous.poll() != 0:
+            self._audit.crashes.append(f"n{number} in an upgrade: exit code {previous.poll()}")
+            previous.kill()
+        await self._wait_until_ready(number)
+        self._restarting.discard(number)
+
     async def _restart(self, number: int, begin: float) -> None:
         await asyncio.sleep(RESTART_SECONDS)
         self._couriers[number].start()
@@ -514,17 +573,18 @@
     return audit
 
 
-def main(first: int, last: int) -> int:
+def main(first: int, last: int, *options: str) -> int:
     """Run the days of some seeds one after another; return the number of days that broke a rule."""
     broken_days = 0
     for seed in range(first, last + 1):
-        day = draw_day(seed)
+        day = draw_day(seed, has_upgrades="upgrades" in options)
         with tempfile.TemporaryDirectory() as folder:
             audit = run_day(day, Path(folder))
         faults = audit.faults(time.monotonic())
         broken_days += bool(faults)
         fleet = day.fleet
         series = ", signals in series" if day.has_signal_series else ""
+        series += f", {len(day.upgrades)} upgrades" if day.upgrades else ""
         setup = f"{fleet.couriers} couriers, {fleet.endpoints} endpoints, crowd {day.idle_clients}{series}"
         outage = f"{fleet.outage_seconds:.1f} s in which it {fleet.fault.value}"
         counts = f"{len(audit.accepted)} messages, {len(audit.timed_out)} replies not waited for"
@@ -533,4 +593,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), *sys.argv[3:]))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""A short soak of a few seeded days; `python -m tests.soak FIRST LAST` runs a longer one."""
+"""A short soak of a few seeded days; `python -m tests.soak FIRST LAST [upgrades]` runs a longer one."""
 
 from __future__ import annotations
 
@@ -30,6 +30,12 @@
     assert audit.faults(time.monotonic()) == {}
 
 
+@pytest.mark.parametrize("seed", [2])
+def test_soak_day_with_upgrades_breaks_no_rule(seed: int, tmp_path: Path):
+    audit = run_day(draw_day(seed, has_upgrades=True), tmp_path)
+    assert audit.faults(time.monotonic()) == {}
+
+
 CALL = b"POST /hook HTTP/1.1\r\nX-Request-Id: 0001a\r\nContent-Length: 0\r\n\r\n"
 STALL_SECONDS = 0.5
 
--- a/winchspan/fakes/courier_process.py
+++ b/winchspan/fakes/courier_process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -21,6 +22,7 @@
 PR_SET_PDEATHSIG: Final = 1  # prctl(2)
 PORT_IN_USE: Final = "in use"  # part of the system's message for EADDRINUSE
 MAX_LOG_LINE_LENGTH: Final = 200
+LISTENER_BACKLOG: Final = 512
 INHERITED_VARIABLES: Final = ("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_STATE")
 
 
@@ -36,6 +38,8 @@
     Attributes:
         data_directory: holds the journal and other state.
         port: port for clients; 0 until `configure`.
+        listener: the clients' listening socket, which its processes inherit; None: each opens its own.
+        program: directory of the program of later processes.
     """
 
     def __init__(self, directory: Path, number: int, operator: Path | None) -> None:
@@ -52,6 +56,8 @@
         self._operator = directory / (operator.name if operator is not None else "none")
         self.data_directory = directory / "state"
         self.port = 0
+        self.listener: socket.socket | None = None
+        self.program = Path.cwd()
         self._process: subprocess.Popen[bytes] | None = None
 
     def free_port(self) -> int:
@@ -84,21 +90,39 @@
         }
         (self._directory / "config.json").write_text(json.dumps(configuration))
 
+    def hold_listener(self) -> None:
+        """Open the clients' listening socket, which stays open over restarts and upgrades."""
+        self.listener = socket.create_server((HOST, self.port), backlog=LISTENER_BACKLOG)
+
     def start(self) -> None:
         """Start the process unless it exists."""
-        if self._process is not None:
-            return
+        if self._process is None:
+            self._process = self._start_process()
+
+    def start_successor(self) -> subprocess.Popen[bytes]:
+        """Start a process that takes over from the present one, and return the latter."""
+        assert self._process is not None and self.listener is not None
+        previous = self._process
+        self._process = self._start_process()
+        return previous
+
+    def _start_process(self) -> subprocess.Popen[bytes]:
         options = ["--operator", str(self._operator)] if self._operator_template is not None else []
         environment = {**os.environ, "ROUTER_CONFIG": str(self._directory / "config.json")}
         for name in INHERITED_VARIABLES:
             environment.pop(name, None)
+        descriptors = () if self.listener is None else (self.listener.fileno(),)
+        for descriptor in descriptors:
+            environment["ROUTER_SOCKET_FD"] = str(descriptor)
         with (self._directory / "log").open("ab") as log:
-            self._process = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, "-m", "winchspan", *options],
+                cwd=self.program,
                 env=environment,
                 stderr=log,
                 stdout=log,
                 preexec_fn=terminate_with_parent,
+                pass_fds=descriptors,
             )
 
     def resident_bytes(self) -> int:
