Start attempts of a process that took over once adopted calls have been read

Callers would see: a wait that was written while a new process started was not heeded by its first calls, 0.47 s behind it where the start takes 0.4 s. On a busy machine a hand-over takes over the 0.1 s in which calls may cross a wait.

Cause: the first dispatch of the new process came before it had read the connections that it had adopted; a response that came meanwhile lay in the kernel.

All other decisions go on. The process that resumes after a failed transfer has a test as well; it passed before.

Measured: test_wait_that_comes_during_a_freeze_binds_the_process_that_takes_over failed before (0.47 s of 1.2 s), passes.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,7 +30,7 @@
     assert audit.faults(time.monotonic()) == {}
 
 
-@pytest.mark.parametrize("seed", [2])
+@pytest.mark.parametrize("seed", [2, 5])
 def test_soak_day_with_upgrades_breaks_no_rule(seed: int, tmp_path: Path):
     audit = run_day(draw_day(seed, has_upgrades=True), tmp_path)
     assert audit.faults(time.monotonic()) == {}
--- a/tests/test_wait_processes.py
+++ b/tests/test_wait_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import shutil
 import threading
 import time
 from collections.abc import Iterator
@@ -10,22 +11,29 @@
 
 import pytest
 
+from winchspan.upgrade.errors import HandOverError
+from winchspan.upgrade.fingerprint import program_fingerprint
+from winchspan.upgrade.hand_over_client import receive_hand_over
+
 from .loopback import (
     ROOT,
     WAIT_TIMEOUT_SECONDS,
     Call,
+    Client,
     CourierHarness,
     encode_submit,
     reset_connection,
     wait_for,
 )
 from .test_crossings_calls import unread_byte_count
+from .test_hand_over_final_answers_processes import connect_client_that_does_not_read
 from .test_upgrade_processes import copy_with_changed_scheduler
 
 SLOWEST_RESPONSE_SECONDS = 0.4
 LATE_BODY_SECONDS = 0.4  # behind the head, within the time for a response
 WAIT_MS = 1_200
 UPGRADE_WAIT_MS = 4_000
+FREEZE_SECONDS = 0.4  # longer than calls may cross a wait
 CROSSING_SECONDS = 0.1  # calls that arrive within this time of the response cross it
 ROUNDING_SECONDS = 0.05  # of the times that this process reads
 
@@ -133,3 +141,66 @@
     harness.submit(encode_submit("next"))
     harness.wait_for_calls(2)
     assert time.monotonic() - answered_at >= UPGRADE_WAIT_MS / 1_000 - ROUNDING_SECONDS
+
+
+def begin_long_drain(harness: CourierHarness) -> Client:
+    """Have a client that does not read its replies, which a drain awaits, and a call in flight."""
+    harness.hold_listener()
+    harness.start()
+    harness.submit(encode_submit("told"))
+    harness.wait_for_calls(1)
+    connect_client_that_does_not_read(harness)
+    return harness.connect_client()
+
+
+def submit_in_drain(harness: CourierHarness, client: Client) -> None:
+    wait_for("the drain", lambda: "asks to take over" in harness.read_log())
+    assert client.request(encode_submit("queued")) == b"+OK\r\n"
+
+
+def assert_queued_message_heeds_the_wait(harness: CourierHarness, answered_at: float) -> None:
+    harness.wait_for_calls(2)
+    assert time.monotonic() - answered_at >= WAIT_MS / 1_000 - ROUNDING_SECONDS
+
+
+def test_wait_that_comes_during_a_freeze_binds_the_process_that_resumes(harness: CourierHarness):
+    """Guards against calls that start before the input of the time of the freeze has been read."""
+    client, answered = begin_long_drain(harness), list[float]()
+
+    def stall(_state: bytes) -> None:
+        answered.append(time.monotonic())
+        harness.endpoint.calls[0].answer(429, f"X-RateLimit-Wait-Ms: {WAIT_MS}")
+        time.sleep(FREEZE_SECONDS)
+        raise HandOverError("raised by the test")
+
+    arguments = (harness.folder / "state", program_fingerprint(), stall)
+    threading.Thread(target=receive_hand_over, args=arguments, daemon=True).start()
+    submit_in_drain(harness, client)
+    wait_for("the state is read", lambda: answered)
+    assert_queued_message_heeds_the_wait(harness, answered[0])
+
+
+def test_wait_that_comes_during_a_freeze_binds_the_process_that_takes_over(
+    harness: CourierHarness, tmp_path: Path
+):
+    """Guards against calls that start before the input of adopted connections has been read."""
+    client = begin_long_drain(harness)
+    harness.program = copy_with_slow_restore(tmp_path / "slow")
+    harness.start_process()
+    submit_in_drain(harness, client)
+    wait_for("the commit", lambda: "handed over" in harness.read_log())
+    answered_at = time.monotonic()
+    harness.endpoint.calls[0].answer(429, f"X-RateLimit-Wait-Ms: {WAIT_MS}")
+    assert "took over" not in harness.read_log()
+    assert_queued_message_heeds_the_wait(harness, answered_at)
+
+
+def copy_with_slow_restore(folder: Path) -> Path:
+    """Copy the program with a start that takes longer, and the same fingerprint."""
+    shutil.copytree(ROOT / "winchspan", folder / "winchspan", ignore=shutil.ignore_patterns("__pycache__"))
+    path = folder / "winchspan" / "application" / "application.py"
+    text = path.read_text()
+    line = "        restore_courier(self.hand_over_components()"
+    assert line in text
+    path.write_text(text.replace(line, f"        __import__('time').sleep({FREEZE_SECONDS})\n{line}"))
+    return folder
--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from winchspan import api
+from winchspan.application.adoption_gate import AdoptionGate
 from winchspan.application.assembly import create_client_connections, create_engine
 from winchspan.application.capacity import max_client_connections, spare_descriptor_count
 from winchspan.application.component import Component, OperatorOptions
@@ -234,9 +235,18 @@
     def _restore_inherited(self, inherited: InheritedState) -> None:
         from winchspan.upgrade.restore import restore_courier
 
+        self.engine.hold_attempts(True)
         restore_courier(self.hand_over_components(), self._loop, self._context.system, inherited)
         for component in self.components:
             component.on_state_restored(self.engine.overload_control)
+        resources = self._resources
+        AdoptionGate(
+            resources.connections, resources.clock, resources.timers, self._on_adopted_input_read
+        ).start()
+
+    def _on_adopted_input_read(self) -> None:
+        if not self._is_handing_over():  # a hand-over that fails starts attempts itself
+            self.engine.hold_attempts(False)
 
     def _on_discovery_settled(self) -> None:
         if not self._is_handing_over():  # a hand-over resumes the engine itself
--- a/winchspan/net/connection_pool.py
+++ b/winchspan/net/connection_pool.py
@@ -311,6 +311,15 @@
         """Return all connections to endpoints, without those to the platform's own services."""
         return [connection for connection in self._connections if connection.peer.endpoint_number]
 
+    def has_unread_adopted_call(self) -> bool:
+        """Return whether an adopted call may have input that has not been read yet."""
+        return any(
+            connection.is_adopted
+            and connection.call is not None
+            and (not connection.is_established or connection.has_unread_input())
+            for connection in self._connections
+        )
+
     def adopt_idle(self, sock: socket.socket, peer: HttpPeer, idle_limit_ms: float | None) -> None:
         """Take over an idle connection of another process, retired after `idle_limit_ms` at most."""
         connection = self._adopted_connection(peer)
