Suspend all decisions until a process that took over has read what it adopted

Cause, as read: the gate held attempts back, and the first cycle still judged adopted calls as overdue and gave them up, before their responses had been read.

--- a/tests/test_upgrade_processes.py
+++ b/tests/test_upgrade_processes.py
@@ -32,6 +32,8 @@
 
 __all__ = ["partner"]  # a fixture
 
+FREEZE_SECONDS = 0.4  # longer than calls may cross a wait, or are usually out
+
 
 def listening_socket() -> socket.socket:
     found = socket.create_server(("127.0.0.1", 0))
@@ -79,6 +81,17 @@
     return folder
 
 
+def copy_with_slow_restore(folder: Path) -> Path:
+    """Copy the program with a start that takes longer, and the same fingerprint."""
+    shutil.copytree(ROOT / "winchspan", folder / "winchspan", ignore=shutil.ignore_patterns("__pycache__"))
+    path = folder / "winchspan" / "application" / "application.py"
+    text = path.read_text()
+    line = "        restore_courier(self.hand_over_components()"
+    assert line in text
+    path.write_text(text.replace(line, f"        __import__('time').sleep({FREEZE_SECONDS})\n{line}"))
+    return folder
+
+
 @pytest.mark.parametrize("differ", [False, True], ids=["same program", "other program each time"])
 def test_upgrades_under_load_lose_no_request_and_complete_each_message_once(
     tmp_path: Path, partner: ThreadingHTTPServer, differ: bool
--- a/winchspan/application/adoption_gate.py
+++ b/winchspan/application/adoption_gate.py
@@ -1,4 +1,4 @@
-"""Delays the first attempts of a process that has taken over until it has read the connections it adopted."""
+"""Delays the first decisions of a process that has taken over until it has read what it adopted."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 from winchspan.runtime.clock import Clock
 from winchspan.runtime.timers import TimerQueue
 
-MAX_DELAY_MS: Final = 100.0
+MAX_DELAY_MS: Final = 50.0
 POLL_INTERVAL_MS: Final = 2.0
 
 
 class AdoptionGate:
     """Waits until the input of adopted calls has been read.
 
-    Responses that came during the hand-over are still unread: they may have delivered a message, or ask for a
-    wait that binds already.
+    Responses that came during the hand-over are still unread: their calls must not be judged as overdue, and
+    they may ask for a wait that binds already.
     """
 
     def __init__(
--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -235,7 +235,7 @@
     def _restore_inherited(self, inherited: InheritedState) -> None:
         from winchspan.upgrade.restore import restore_courier
 
-        self.engine.hold_attempts(True)
+        self.engine.suspend(True)
         restore_courier(self.hand_over_components(), self._loop, self._context.system, inherited)
         for component in self.components:
             component.on_state_restored(self.engine.overload_control)
@@ -245,8 +245,8 @@
         ).start()
 
     def _on_adopted_input_read(self) -> None:
-        if not self._is_handing_over():  # a hand-over that fails starts attempts itself
-            self.engine.hold_attempts(False)
+        if not self._is_handing_over():  # a hand-over resumes the engine itself
+            self.engine.set_suspended(False)
 
     def _on_discovery_settled(self) -> None:
         if not self._is_handing_over():  # a hand-over resumes the engine itself
