--- a/tests/test_config_class_hand_over.py
+++ b/tests/test_config_class_hand_over.py
@@ -82,6 +82,42 @@
     assert not upgrade.repeats("early")
 
 
+def restart(world: World, settings: Settings) -> None:
+    """Kill an engine, and start another one in its directory with other settings."""
+    world.journal.close()
+    world.settings = settings
+    world.start()
+
+
+def sends_again(world: World, message: str) -> bool:
+    """Return whether an engine sends a message again whose first call may have run."""
+    world.submit(message, "once")
+    world.transport.calls[-1].end(FAILED)
+    world.run(1_000)
+    return [message] in world.sent_ids()[:-1]
+
+
+def test_restart_within_a_transition_continues_it(tmp_path: Path):
+    """Guards against a second run behind SIGHUP and a kill: the restarted process knew the new rules only."""
+    world = World(tmp_path)
+    repeatable = Upgrade._with_repeatable(world.settings)
+    world.engine.reconfigure(repeatable)
+    world.run(300)
+    restart(world, repeatable)
+    assert not sends_again(world, "early")
+    world.run(int(CLASS_TRANSITION_MS))
+    assert sends_again(world, "late")
+
+
+def test_restart_with_the_same_classes_begins_no_transition(tmp_path: Path):
+    world = World(tmp_path)
+    repeatable = Upgrade._with_repeatable(world.settings)
+    world.engine.reconfigure(repeatable)
+    world.run(int(CLASS_TRANSITION_MS) + 100)
+    restart(world, repeatable)
+    assert sends_again(world, "any")
+
+
 @pytest.mark.parametrize("state", [None, ClassesState(b"{", b"[]", None), ClassesState(b"[1]", b"[]", 1.0)])
 def test_classes_that_cannot_be_used_change_nothing(upgrade: Upgrade, state: ClassesState | None):
     upgrade.new.engine.import_classes(state)
