--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -16,10 +16,20 @@
 
 from winchspan.storage.journal import Journal
 
-from .loopback import HOST, CourierHarness, Server, encode_submit, message_class, reset_connection, wait_for
+from .loopback import (
+    HOST,
+    Call,
+    CourierHarness,
+    Server,
+    encode_submit,
+    message_class,
+    reset_connection,
+    wait_for,
+)
 
 JOURNAL_LIMIT_BYTES = 1_000_000
 SLOWEST_RESPONSE_SECONDS = 1.5
+LATE_IN_STOP_SECONDS = 2.2  # shortly before the last attempts of a stop
 
 
 @pytest.fixture
@@ -408,3 +418,25 @@
     call.answer()
     harness.wait_for_notification("later", "returned")
     assert harness.discovery.final_state("held") is None
+
+
+def test_message_whose_response_is_held_at_the_end_of_a_stop_is_not_sent_again(harness: CourierHarness):
+    """Guards against a delivery that is forgotten, as its response was fast."""
+    harness.configure(family_info=harness.config["settings"]["family_info"] | {"workers": 1})
+    harness.start()
+    harness.submit(encode_submit("slow"))
+    (slow,) = harness.wait_for_calls(1)
+    harness.submit(encode_submit("held"))
+    harness.send_signal(signal.SIGTERM)
+    time.sleep(LATE_IN_STOP_SECONDS)
+    slow.answer()
+    call = harness.wait_for_calls(2)[1]
+    assert call.ids == ["held"]
+    call.answer()
+    assert harness.wait_for_exit() == 0
+    assert "response 200 is held" in harness.read_log()
+    harness.endpoint.on_call = Call.answer
+    harness.start()
+    harness.submit(encode_submit("next"))
+    wait_for("the next message", lambda: "next" in harness.endpoint.message_ids())
+    assert harness.endpoint.message_ids().count("held") == 1
--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -22,6 +22,7 @@
 DRAIN_LOG_LINE = "asks to take over"
 LONGEST_SLOW_RESPONSE_SECONDS = 1.0
 LONG_REMAINING_MS = 1_000  # enough for a state to be read beside load
+CLIENT_TIMEOUT_SECONDS = 0.4  # of a client for its reply
 STALL_SECONDS = 2.0  # of a new process, longer than the time for a transfer
 BLOCKED_SECONDS = 0.3  # without progress of a client's write
 
@@ -150,3 +151,15 @@
     harness.wait_for_notification("brief")
     assert time.monotonic() <= due_at + LATE_SECONDS
     successor.join()
+
+
+def test_new_client_is_answered_while_another_program_waits_for_calls(upgrade: Upgrade, tmp_path: Path):
+    """Guards against clients that wait unheard in the backlog for the whole of a drain."""
+    upgrade.harness.submit(encode_submit("hanging"))
+    upgrade.harness.wait_for_calls(1)
+    upgrade.begin(copy_with_changed_scheduler(tmp_path / "other"))
+    connected_at = time.monotonic()
+    upgrade.harness.submit(encode_submit("new"))
+    assert time.monotonic() - connected_at < CLIENT_TIMEOUT_SECONDS
+    assert "handed over" not in upgrade.harness.read_log()
+    upgrade.finish()
--- a/tests/test_net_response_order.py
+++ b/tests/test_net_response_order.py
@@ -408,3 +408,12 @@
     monkeypatch.setattr(ResponseOrder, "precedes_request", lambda self, unacknowledged_bytes: False)
     monkeypatch.setattr(ResponseOrder, "hold_until_ms", lambda self, now_ms, status: None)
     assert play_copies(tmp_path, 3).result.unended > 0
+
+
+def test_rejection_on_a_new_connection_is_no_surplus_though_the_request_is_not_acknowledged():
+    """Guards against a rejection of the connection itself that is discarded: its call never ran."""
+    world = PoolWorld()
+    connection = world.call()
+    assert world.transport(connection).unacknowledged
+    feed(connection, REJECTED)
+    assert world.statuses() == [503]
--- a/tests/test_scheduling_guarantees.py
+++ b/tests/test_scheduling_guarantees.py
@@ -283,3 +283,12 @@
     } == {1, 3}
     harness.handle(after=10 * SECOND)
     assert [message for message, _, _ in harness.sent] == ["a"]
+
+
+def test_endpoints_that_have_left_are_forgotten_though_their_destination_asks_for_waits_all_the_time():
+    """Guards against memory that grows with each replaced endpoint of a limited destination."""
+    harness = SchedulerHarness()
+    for number in range(20, 40):
+        harness.update_endpoints({1: [number]})
+        harness.handle(api.WaitRequested(1, number, 60 * SECOND), after=11 * SECOND)
+    assert len(harness.scheduler.endpoints) <= 3
--- a/tests/test_wait_processes.py
+++ b/tests/test_wait_processes.py
@@ -21,6 +21,7 @@
     Client,
     CourierHarness,
     encode_submit,
+    message_class,
     reset_connection,
     wait_for,
 )
@@ -32,6 +33,7 @@
 LATE_BODY_SECONDS = 0.4  # behind the head, within the time for a response
 WAIT_MS = 1_200
 UPGRADE_WAIT_MS = 4_000
+KEY_REST_SECONDS = 0.3  # `turn_gap_ns` of the settings
 CROSSING_SECONDS = 0.1  # calls that arrive within this time of the response cross it
 ROUNDING_SECONDS = 0.05  # of the times that this process reads
 
@@ -142,11 +144,16 @@
 
 
 def begin_long_drain(harness: CourierHarness) -> Client:
-    """Have a client that does not read its replies, which a drain awaits, and a call in flight."""
+    """Have a client that does not read, which a drain awaits, a call in flight and an idle connection."""
     harness.hold_listener()
     harness.start()
     harness.submit(encode_submit("told"))
     harness.wait_for_calls(1)
+    harness.submit(encode_submit("idle"))
+    idle = harness.wait_for_calls(2)[1]
+    assert idle.connection is not harness.endpoint.calls[0].connection
+    idle.answer()
+    wait_for("a connection is idle", lambda: "attempt completed" in harness.read_log())
     connect_client_that_does_not_read(harness)
     return harness.connect_client()
 
@@ -157,7 +164,7 @@
 
 
 def assert_queued_message_heeds_the_wait(harness: CourierHarness, answered_at: float) -> None:
-    harness.wait_for_calls(2)
+    harness.wait_for_calls(3)
     assert time.monotonic() - answered_at >= WAIT_MS / 1_000 - ROUNDING_SECONDS
 
 
@@ -191,3 +198,20 @@
     harness.endpoint.calls[0].answer(429, f"X-RateLimit-Wait-Ms: {WAIT_MS}")
     assert "took over" not in harness.read_log()
     assert_queued_message_heeds_the_wait(harness, answered_at)
+
+
+def test_rest_of_a_key_binds_another_program_that_takes_over(harness: CourierHarness, tmp_path: Path):
+    """Guards against a call of a key while an earlier one, which the drain cancelled, may still run."""
+    harness.config["settings"]["request_classes"] = [message_class("turn", "once", in_order=True)]
+    harness.hold_listener()
+    harness.start()
+    harness.submit(encode_submit("first", "turn", key=5))
+    harness.wait_for_calls(1)
+    harness.submit(encode_submit("second", "turn", key=5))
+    harness.program = copy_with_changed_scheduler(tmp_path / "other")
+    harness.start_process()
+    wait_for("the end of the drain", lambda: "upgrade: cancelled 1 calls" in harness.read_log())
+    cancelled_at = time.monotonic()
+    calls = harness.wait_for_calls(2)
+    assert calls[1].ids == ["second"]
+    assert time.monotonic() - cancelled_at >= KEY_REST_SECONDS - ROUNDING_SECONDS
