Forget endpoints that have left though their destination asks for waits

Callers would see memory that grows where endpoints are replaced and their destination is over its limit: each endpoint that had left stayed known while a wait was in force (21 in place of 3 in the test).

Cause: kept endpoints for the wait of their limit, also where the limit is shared: that one lasts with its destination. Change: only an endpoint with a route of its own is kept for its wait.

Measured: the test failed before, passes; the wait over endpoints that leave and return holds for both kinds.

--- a/winchspan/scheduling/scheduler.py
+++ b/winchspan/scheduling/scheduler.py
@@ -202,8 +202,9 @@
 
     def _remove_unlisted(self) -> None:
         for endpoint in [each for each in self.endpoints.values() if not each.call_count]:
-            is_waiting = endpoint.limit.retry_after_ns > self.now
-            if endpoint.unlisted_ns is None or is_waiting:
+            # A shared limit is kept with its destination.
+            is_waiting_route = endpoint.limit.destination is None and endpoint.limit.retry_after_ns > self.now
+            if endpoint.unlisted_ns is None or is_waiting_route:
                 continue
             if self.now - endpoint.unlisted_ns > self.settings.cold_ns:
                 del self.endpoints[endpoint.id]
