Take an early rejection on a new connection as the answer to its request

Callers would see: an endpoint with too many connections that answers 503 as it accepts, before the request has reached it, was not heard: the answer was discarded, and the end of the connection counted as a reset, after which a message may have run. One that may run once only failed, in place of being tried elsewhere.

Cause: bytes before the acknowledgement of a request are taken for a copy of an earlier response. On a new connection there is none.

Change: a rejection (429, 503) that comes first on a new connection is the answer. A 200 or noise there stays no answer, as the tests of these have it.

Measured: the new test fails before, whole and in pieces; tests of net and of the state: all pass.

--- a/tests/test_net_response_order.py
+++ b/tests/test_net_response_order.py
@@ -410,10 +410,14 @@
     assert play_copies(tmp_path, 3).result.unended > 0
 
 
-def test_rejection_on_a_new_connection_is_no_surplus_though_the_request_is_not_acknowledged():
+@pytest.mark.parametrize("pieces", [(REJECTED,), (REJECTED[:20], REJECTED[20:])], ids=["whole", "in pieces"])
+def test_rejection_on_a_new_connection_is_no_surplus_though_the_request_is_not_acknowledged(
+    pieces: tuple[bytes, ...],
+):
     """Guards against a rejection of the connection itself that is discarded: its call never ran."""
     world = PoolWorld()
     connection = world.call()
     assert world.transport(connection).unacknowledged
-    feed(connection, REJECTED)
+    for piece in pieces:
+        feed(connection, piece)
     assert world.statuses() == [503]
--- a/winchspan/net/http_connection.py
+++ b/winchspan/net/http_connection.py
@@ -278,6 +278,7 @@
         self._reader.buffer.restore(state.unread)
         self.is_closing_after_call = state.is_closing_after_call
         self._reader.order.request_bytes = state.request_bytes
+        self._reader.order.had_response = True
         if state.response_deadline_ms is not None:
             call.response_timer = self._pool.limit_response(call, state.response_deadline_ms)
 
--- a/winchspan/net/response_order.py
+++ b/winchspan/net/response_order.py
@@ -73,6 +73,7 @@
         settled_at_ms: from when on the connection may carry the next request.
         request_bytes: size of the request, until its response begins; 0: not known.
         held: a complete response that may belong to an earlier request; None: there is none.
+        had_response: whether a response has come before, or that is not known.
     """
 
     __slots__ = (
@@ -80,6 +81,7 @@
         "_responded_at_ms",
         "_times",
         "_written_at_ms",
+        "had_response",
         "held",
         "request_bytes",
         "settled_at_ms",
@@ -97,10 +99,12 @@
         self.settled_at_ms = _LONG_AGO_MS
         self.request_bytes = 0
         self.held: ResponseParser | None = None
+        self.had_response = False
         self._held_response_ms = 0.0
 
     def adopt(self, now_ms: float) -> None:
         """Record that the connection comes from another process, and may have got a response just now."""
+        self.had_response = True
         self._responded_at_ms = now_ms
         self.settled_at_ms = now_ms + MAX_SETTLE_MS
 
@@ -148,6 +152,7 @@
 
     def release(self, now_ms: float) -> None:
         """Record that the connection waits for the next request."""
+        self.had_response = True
         self._responded_at_ms = now_ms
         self.settled_at_ms = now_ms + settle_ms(now_ms - self._written_at_ms)
 
--- a/winchspan/net/response_reader.py
+++ b/winchspan/net/response_reader.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from winchspan.net.http import HttpProtocolError, ResponseParser
+from winchspan.net.http import REJECTING_STATUSES, HttpProtocolError, ResponseParser
 from winchspan.net.http_call import HttpCall, HttpCallOutcome, HttpPeer
 from winchspan.net.receive_buffer import ReceiveBuffer
 from winchspan.net.response_order import ResponseOrder, ResponseTimes, parse_surplus
@@ -64,7 +64,8 @@
 
     def read(self, call: HttpCall, transport: asyncio.Transport) -> None:
         """Parse the received bytes of the call's response."""
-        if self.order.precedes_request(unacknowledged_bytes(transport)):
+        is_early = self.order.precedes_request(unacknowledged_bytes(transport))
+        if is_early and not self._rejects_connection():
             self._discard_surplus(call)
             return
         self.order.request_bytes = 0
@@ -96,9 +97,18 @@
         self.buffer.start = self.buffer.end
         self.is_out_of_order = True
 
+    def _rejects_connection(self) -> bool:
+        """Return whether the received bytes reject a new connection, and so its first request."""
+        if self.order.had_response:
+            return False
+        return parse_surplus(self._received()).parser.first_line_status in REJECTING_STATUSES
+
+    def _received(self) -> bytes:
+        return bytes(self.buffer.data[self.buffer.start : self.buffer.end])
+
     def read_surplus(self) -> bool:
         """Report the head of a surplus response; return whether the bytes are exactly one response."""
-        data = bytes(self.buffer.data[self.buffer.start : self.buffer.end])
+        data = self._received()
         logger.debug("http connection to {}: {} surplus bytes", self._peer.address, len(data))
         surplus = parse_surplus(data)
         self._report_head(surplus.parser)
