Emulate that a process owns the connections it inherits before its first step

Cause: in the emulator a machine that lost its power between the start of a process that takes over and its first step left the connections that the old process had released open for ever. The system closes the descriptors of a process that ends, also those that it has received and not used.

Change: an incarnation owns the inherited connections from its start.

--- a/winchspan/simulation/emulated_courier.py
+++ b/winchspan/simulation/emulated_courier.py
@@ -95,6 +95,8 @@
         incarnation = self.machine.start_program()
         if listener is not None:
             incarnation.inherit_listener(listener)
+        for descriptor in inherited.descriptors if inherited is not None else ():
+            incarnation.inherit_connection(self.machine.network.find_connection_end(descriptor))
         system = EmulatedSystem(self.machine, incarnation, self._config_path())
         context = ProcessContext(system, inherited, listener)
         self._application, self._run_task = run_application(incarnation, operator, context)
--- a/winchspan/simulation/incarnation.py
+++ b/winchspan/simulation/incarnation.py
@@ -119,6 +119,11 @@
         )
 
     # ---- hand-over ---------------------------------------------------------------------------------------
+    def inherit_connection(self, connection: ConnectionEnd) -> None:
+        """Own a connection, which is closed when the process ends, even before a protocol is attached."""
+        others = [other for other in self._connections if not other.is_closed and other is not connection]
+        self._connections = [*others, connection]
+
     def release_connection(self, connection: ConnectionEnd) -> None:
         """Release a connection for a hand-over; its events are no longer delivered here."""
         self._connections = [other for other in self._connections if other is not connection]
@@ -256,7 +261,7 @@
     def _adopt(
         self, connection: ConnectionEnd, factory: ProtocolFactory
     ) -> tuple[ConnectionEnd, asyncio.BaseProtocol]:
-        self._connections = [*(other for other in self._connections if not other.is_closed), connection]
+        self.inherit_connection(connection)
         protocol = factory()
         connection.attach(self, cast("StreamProtocol", protocol))
         return connection, protocol
