Let each reason for which attempts are held end by itself, and read before deciding after a freeze

Cause: the resumed engine decided before the next poll. And start, hand-over and lease shared one switch: a drain lifted a suspension that was not its own.

Change: a process that resumes decides from a timer, which runs behind polled events. Attempts are held by reasons (discovery, hand-over), each of which ends by itself; the start until discovery has answered holds attempts in place of all decisions, so that final answers do not wait for it. A freeze lifts only its own suspension, and a process with replicas is resumed by its lease alone.

--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -21,6 +22,7 @@
 from winchspan.config.json_fields import FieldError
 from winchspan.config.platform import ConfigError, PlatformConfig
 from winchspan.config.reload import reload_platform_config
+from winchspan.delivery.context import AttemptHold
 from winchspan.net.discovery_watch import DiscoveryWatch
 from winchspan.runtime.system import Listener, System
 
@@ -227,7 +229,7 @@
         if inherited is not None and inherited.state is not None:
             self._restore_inherited(inherited)
         elif self._selection.replication is None:  # with replication, once this courier owns the journal
-            self.engine.suspend(True)
+            self.engine.hold_attempts(AttemptHold.DISCOVERY)
             self.engine.recover()
             resources = self._resources
             DiscoveryGate(self._watch, resources.clock, resources.timers, self._on_discovery_settled).start()
@@ -239,18 +241,13 @@
         restore_courier(self.hand_over_components(), self._loop, self._context.system, inherited)
         for component in self.components:
             component.on_state_restored(self.engine.overload_control)
-        resources = self._resources
-        AdoptionGate(
-            resources.connections, resources.clock, resources.timers, self._on_adopted_input_read
-        ).start()
-
-    def _on_adopted_input_read(self) -> None:
-        if not self._is_handing_over():  # a hand-over resumes the engine itself
-            self.engine.set_suspended(False)
+        if self._selection.replication is None:  # with replication, once this courier owns the journal
+            resources = self._resources
+            resume = partial(self.engine.set_suspended, False)
+            AdoptionGate(resources.connections, resources.clock, resources.timers, resume).start()
 
     def _on_discovery_settled(self) -> None:
-        if not self._is_handing_over():  # a hand-over resumes the engine itself
-            self.engine.suspend(False)
+        self.engine.release_attempts(AttemptHold.DISCOVERY)
 
     def _start_serving(self) -> None:
         self._watch.open()
--- a/winchspan/delivery/context.py
+++ b/winchspan/delivery/context.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from enum import Enum
 
 from winchspan import api
 from winchspan.config.transitions import with_attempt_limits
@@ -26,6 +27,13 @@
 from winchspan.storage.journal import Journal
 
 
+class AttemptHold(Enum):
+    """Why no attempt is started for now."""
+
+    DISCOVERY = "discovery"  # a process that starts has not heard discovery yet
+    HAND_OVER = "hand-over"  # the process drains, so that another one can take over
+
+
 @dataclass(slots=True)
 class EngineContext:
     """Ports and replaceable state of one engine.
@@ -51,7 +59,8 @@
         classes: the message classes in force, and earlier ones that open messages were accepted under.
         scheduler: decides on attempts and final answers.
         is_frozen: no further attempt is started.
-        holds_attempts: no attempt is started for now; final answers and other decisions go on.
+        attempt_holds: why no attempt is started for now; final answers and other decisions go on. Empty:
+            attempts are started.
         is_suspended: no decision is made for now; events are queued.
     """
 
@@ -72,7 +81,7 @@
     classes: dict[str, api.MessageClass]
     scheduler: Scheduler
     is_frozen: bool = False
-    holds_attempts: bool = False
+    attempt_holds: set[AttemptHold] = field(default_factory=set)
     is_suspended: bool = False
 
     @classmethod
@@ -109,7 +118,7 @@
     @property
     def may_start_attempts(self) -> bool:
         """Whether attempts may start now."""
-        return not (self.is_frozen or self.is_suspended or self.holds_attempts)
+        return not (self.is_frozen or self.is_suspended or self.attempt_holds)
 
     def accepted_class_of(self, message: AcceptedMessage) -> api.MessageClass | None:
         """Return the class that a message was accepted under; None if it is not known any more."""
--- a/winchspan/delivery/dispatch_cycle.py
+++ b/winchspan/delivery/dispatch_cycle.py
@@ -54,7 +54,7 @@
         self.decided_at_ms = now_ms
         try:
             commands = self._context.scheduler.handle(
-                ms_to_ns(now_ms), events, may_start=not self._context.holds_attempts
+                ms_to_ns(now_ms), events, may_start=not self._context.attempt_holds
             )
         except Exception:  # a fault in one decision must not stop the courier
             logger.exception("dispatch cycle failed on {} events", len(events))
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -15,7 +15,7 @@
 from winchspan.delivery.admission import Admission, DirectAdmission
 from winchspan.delivery.attempt_results import AttemptResults
 from winchspan.delivery.attempts import AttemptRunner
-from winchspan.delivery.context import EngineContext
+from winchspan.delivery.context import AttemptHold, EngineContext
 from winchspan.delivery.dispatch_cycle import DispatchCycle
 from winchspan.delivery.ended_messages import EndedMessagesState
 from winchspan.delivery.engine_state import EngineState
@@ -209,9 +209,18 @@
         self._release.release_all()
 
     # ---- upgrade -----------------------------------------------------------------------------------------
-    def hold_attempts(self, is_holding: bool) -> None:
-        """Start no attempt, or start attempts again; final answers and other decisions go on."""
-        self._hand_over.hold_attempts(is_holding)
+    @property
+    def is_suspended(self) -> bool:
+        """Whether no decision is made for now."""
+        return self._context.is_suspended
+
+    def hold_attempts(self, hold: AttemptHold) -> None:
+        """Start no attempt until `release_attempts`; final answers and other decisions go on."""
+        self._hand_over.hold_attempts(hold)
+
+    def release_attempts(self, hold: AttemptHold) -> None:
+        """End a hold; attempts start once there is none."""
+        self._hand_over.release_attempts(hold)
 
     def suspend(self, is_suspended: bool) -> None:
         """Suspend or resume decisions and attempts; events are queued during a suspension."""
--- a/winchspan/delivery/hand_over.py
+++ b/winchspan/delivery/hand_over.py
@@ -10,7 +10,7 @@
 
 from winchspan import api
 from winchspan.delivery.attempts import AttemptRunner
-from winchspan.delivery.context import EngineContext
+from winchspan.delivery.context import AttemptHold, EngineContext
 from winchspan.delivery.dispatch_cycle import DispatchCycle
 from winchspan.delivery.engine_state import EngineState
 from winchspan.delivery.event_queue import EventQueue
@@ -63,10 +63,14 @@
             self._events.pending = self._events.refresh(self._events.pending, self._suspended_at_ms)
             self._context.call_soon(self._cycle.run)
 
-    def hold_attempts(self, is_holding: bool) -> None:
-        """Start no attempt, or start attempts again; final answers and other decisions go on."""
-        self._context.holds_attempts = is_holding
-        if not is_holding:
+    def hold_attempts(self, hold: AttemptHold) -> None:
+        """Start no attempt until `release_attempts`; final answers and other decisions go on."""
+        self._context.attempt_holds.add(hold)
+
+    def release_attempts(self, hold: AttemptHold) -> None:
+        """End a hold; attempts start once there is none."""
+        if hold in self._context.attempt_holds:
+            self._context.attempt_holds.remove(hold)
             self._events.post(api.TimerFired(0))  # for the messages that have become ready meanwhile
 
     def export_state(self) -> EngineState:
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -7,8 +7,10 @@
 
 from loguru import logger
 
+from winchspan.delivery.context import AttemptHold
 from winchspan.net.http_connection import HttpConnection
 from winchspan.runtime.clock import ns_to_ms
+from winchspan.runtime.timers import Timer
 from winchspan.upgrade.courier_components import CourierComponents
 from winchspan.upgrade.errors import HandOverError
 from winchspan.upgrade.hand_over_server import StateTransfer
@@ -47,6 +49,8 @@
         self._on_exit = on_exit
         self._same_program = True
         self.is_frozen = False
+        self._has_suspended_engine = False  # in the freeze
+        self._resume_timer: Timer | None = None
         self._exported_descriptors: list[int] = []
 
     def start_drain(self, same_program: bool) -> None:
@@ -55,8 +59,10 @@
         Messages that reach their deadline meanwhile get their final answers, and the platform is notified.
         """
         self._same_program = same_program
-        self._components.engine.hold_attempts(True)
-        self._components.engine.set_suspended(False)  # by a start that still waits for discovery
+        if self._resume_timer is not None:  # the hand-over before has just failed
+            self._resume_timer.cancel()
+            self._resume_decisions()
+        self._components.engine.hold_attempts(AttemptHold.HAND_OVER)
         self._components.clients.suspend_accepting(True)
         self._components.http_connections.recall_all_unwritten()
 
@@ -149,15 +155,25 @@
         os.close(null_device)
 
     def resume(self) -> None:
-        """Roll back: serve again as before the request."""
+        """Roll back: serve again as before the request.
+
+        The engine decides once the input that came during a freeze has been read: timers are called after
+        polled events. A response in it may ask for a wait.
+        """
         self.is_frozen = False
         self._components.clients.suspend_accepting(False)
         self._components.clients.pause_for_hand_over(False)
         self._components.http_connections.pause_for_hand_over(False)
-        self._components.engine.hold_attempts(False)
-        self._components.engine.set_suspended(False)
         self._components.notifications.suspend(False)
         self._components.timers.resume()
+        self._resume_timer = self._components.timers.call_later(0.0, self._resume_decisions)
+
+    def _resume_decisions(self) -> None:
+        self._resume_timer = None
+        if self._has_suspended_engine:
+            self._has_suspended_engine = False
+            self._components.engine.set_suspended(False)
+        self._components.engine.release_attempts(AttemptHold.HAND_OVER)
 
     def stop(self) -> None:
         """Shut down as at SIGTERM."""
@@ -173,6 +189,7 @@
 
     def _freeze(self) -> None:
         self.is_frozen = True
+        self._has_suspended_engine = not self._components.engine.is_suspended
         self._components.engine.set_suspended(True)
         self._components.notifications.suspend(True)
         self._components.timers.pause()
