--- a/tests/test_simulation_emulation.py
+++ b/tests/test_simulation_emulation.py
@@ -232,6 +232,11 @@
 OPERATORS_ACTIONS = {
     "upgrades": tuple(InjectedFault(2_000.0 + 700.0 * n, FaultKind.UPGRADE, f"n{n % 3}") for n in range(24)),
     "upgrades that are killed": tuple(
+        InjectedFault(2_000.0 + 700.0 * n + delay_ms, kind, f"n{n % 3}", duration_ms=400.0)
+        for n in range(24)
+        for kind, delay_ms in ((FaultKind.UPGRADE, 0.0), (FaultKind.POWER_LOSS, 4.0 * (n % 8)))
+    ),
+    "upgrades that are killed later": tuple(
         InjectedFault(2_000.0 + 700.0 * n + delay_ms, kind, f"n{n % 3}", duration_ms=400.0)
         for n in range(24)
         for kind, delay_ms in ((FaultKind.UPGRADE, 0.0), (FaultKind.POWER_LOSS, 5.0 * (n % 8)))
