Count the responses that are held when a stop ends

A response that is held until its pair can be told apart was dropped when the process ended on SIGTERM: the next process sent the delivered message again, or returned it. It counts at the end of the stop, as at its message's deadline.

--- a/tests/test_net_response_order.py
+++ b/tests/test_net_response_order.py
@@ -421,3 +421,17 @@
     for piece in pieces:
         feed(connection, piece)
     assert world.statuses() == [503]
+
+
+def test_held_response_counts_at_the_end_of_the_process():
+    """Guards against a delivered message that the next process sends again or fails."""
+    world = PoolWorld()
+    first = world.call()
+    world.answer(first, DELIVERED, after_ms=SERVICE_MS)
+    world.pass_time(MAX_SETTLE_MS)
+    second = world.call()
+    world.answer(second, DELIVERED, after_ms=CROSSING_MS)
+    assert world.statuses() == [200]
+    world.pool.accept_held_responses()
+    assert world.statuses() == [200, 200]
+    assert world.transport(second).closed, "a second response may still come"
--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -278,6 +278,7 @@
     async def _close(self) -> None:
         if not self._is_handed_over:  # otherwise another process owns the connections
             self.engine.freeze()
+            self._resources.connections.accept_held_responses()
             self._resources.connections.recall_all_unwritten()  # the next process may attempt them
             await asyncio.sleep(0)  # the calls' results arrive in the next loop iteration
             await self._clients.close_all()
--- a/winchspan/net/connection_pool.py
+++ b/winchspan/net/connection_pool.py
@@ -205,6 +205,11 @@
             if connection.peer == peer and connection.call is not None:
                 connection.call.recall()
 
+    def accept_held_responses(self) -> None:
+        """Complete the calls whose response is held, since they can wait no longer."""
+        for connection in self._endpoint_connections():
+            connection.accept_held_response()
+
     def recall_partially_written(self) -> None:
         """Recall all calls of which the kernel has taken only a part."""
         for connection in list(self.partially_written):
