Have the takeover of a batch release its held calls once they have ended

The test released the held calls right behind the kill, so that an endpoint whose thread was late answered a call of the killed courier and counted its delivery, as found in test_takeover.

The test waits until the endpoint sees its calls end, as the tests beside it do; all its checks are the same.

--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -221,6 +221,8 @@
         wait_for("several messages share a call", has_shared_call)
         started = {start.message_id for start in partner.delivery_starts}
         fleet["n1"].kill()
+        # Released before that, a call of the killed courier would be answered, and count as a delivery.
+        wait_for("the endpoint sees its calls end", lambda: not partner.has_in_flight(started))
         partner.release_calls()
         wait_for_final_answers(partner, ids)
         assert_delivered_once(partner, ids)
