Accept new clients while a hand-over waits for calls in flight

Cause: accepting was suspended from the start of the drain, though it has to stand still only when the clients' connections are exported. Change: it is suspended once no call can block the hand-over, and resumed if a call blocks it again.

--- a/winchspan/upgrade/hand_over_server.py
+++ b/winchspan/upgrade/hand_over_server.py
@@ -52,7 +52,7 @@
     """The actions that the server performs on the components of the serving process."""
 
     def start_drain(self, same_program: bool) -> None:
-        """Accept no client, start no attempt, and recall the unwritten calls."""
+        """Start no attempt, and recall the unwritten calls."""
 
     def is_drained(self) -> bool:
         """Whether all remaining calls and connections can be handed over."""
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -54,7 +54,7 @@
         self._exported_descriptors: list[int] = []
 
     def start_drain(self, same_program: bool) -> None:
-        """Accept no client, start no attempt, and recall the unwritten calls.
+        """Start no attempt, and recall the unwritten calls.
 
         Messages that reach their deadline meanwhile get their final answers, and the platform is notified.
         """
@@ -63,15 +63,16 @@
             self._resume_timer.cancel()
             self._resume_decisions()
         self._components.engine.hold_attempts(AttemptHold.HAND_OVER)
-        self._components.clients.suspend_accepting(True)
         self._components.http_connections.recall_all_unwritten()
 
     def is_drained(self) -> bool:
         """Whether all remaining calls and connections can be handed over.
 
-        Notifications are suspended only once nothing else is awaited: one may follow another without a gap.
+        New clients and notifications are suspended only once nothing else is awaited: one may follow another
+        without a gap.
         """
         undrained = self.undrained()
+        self._components.clients.suspend_accepting(undrained.are_calls_drained)
         self._components.notifications.suspend(undrained.is_done_but_notification)
         return not undrained
 
--- a/winchspan/upgrade/state_machine.py
+++ b/winchspan/upgrade/state_machine.py
@@ -38,7 +38,7 @@
 class HandOverAction(Enum):
     """A command to the serving process."""
 
-    START_DRAIN = "start drain"  # accept no client, start no attempt, recall unwritten calls
+    START_DRAIN = "start drain"  # start no attempt, recall unwritten calls
     CANCEL_UNDRAINED = "cancel undrained"  # cancel calls and connections that did not drain in time
     TRANSFER = "transfer"  # freeze and send the state
     COMMIT = "commit"  # close the journal, and confirm the takeover to the new process
--- a/winchspan/upgrade/undrained.py
+++ b/winchspan/upgrade/undrained.py
@@ -27,10 +27,15 @@
         """Return whether anything blocks the hand-over."""
         return self.has_notification or not self.is_done_but_notification
 
+    @property
+    def are_calls_drained(self) -> bool:
+        """Whether no call can block the hand-over."""
+        return not (self.servers or self.has_unsettled_attempts)
+
     @property
     def is_done_but_notification(self) -> bool:
         """Whether nothing but a notification can block the hand-over."""
-        return not (self.servers or self.client_count or self.has_unsettled_attempts)
+        return self.are_calls_drained and not self.client_count
 
     def __str__(self) -> str:
         """Return a description for a log line."""
