Hand the rests of ordering keys over to a program that decides differently

Callers saw: the next message of a key was called 0.1 s behind a call that the drain had cancelled, in place of 0.3 s; the cancelled call may still have run.

Change: the serving process decides on queued events as it freezes, and the state for another program names the paused keys with their end on the shared monotonic clock; a new event KeyPaused begins them before messages are recovered. Every version ignores keys of the state that it does not know. The time of a transfer is taken behind the freeze, so that what it decided counts.

--- a/tests/test_scheduling_guarantees.py
+++ b/tests/test_scheduling_guarantees.py
@@ -198,6 +198,17 @@
     assert harness.sent[-1][:2] == ("b", 21)
 
 
+def test_key_paused_by_another_process_starts_no_message_before_its_end():
+    harness = SchedulerHarness()
+    harness.handle(api.KeyPaused(7, 300 * MS))
+    harness.submit("a", cls="turn", key=7)
+    harness.submit("b", cls="turn", key=8)
+    harness.handle(after=250 * MS)
+    assert (harness.attempt_count("a"), harness.attempt_count("b")) == (0, 1)
+    harness.handle(after=100 * MS)
+    assert harness.attempt_count("a") == 1
+
+
 def test_key_order_continues_when_head_of_line_is_given_up():
     harness = SchedulerHarness(endpoints={1: [], 2: [21]})
     harness.submit("a", 1, "turn", key=7, remaining_ns=2 * SECOND)
--- a/tests/test_upgrade_state_codec.py
+++ b/tests/test_upgrade_state_codec.py
@@ -36,6 +36,7 @@
 from winchspan.upgrade.transferred_state import (
     CourierState,
     IdleConnection,
+    TransferredKeyPause,
     TransferredState,
     TransferredWait,
 )
@@ -271,6 +272,12 @@
     assert list(plain) == ["drained", "clients"] and {type(row) for row in plain["clients"]} == {tuple}
 
 
+def test_paused_keys_pass_to_another_program():
+    pauses = [TransferredKeyPause(5, 1_500.5)]
+    encoded = encode_state(TransferredState(is_out_of_service=False, clients=[], paused_keys=pauses))
+    assert decode_state(encoded).paused_keys == pauses
+
+
 def test_waits_pass_to_another_program():
     waits = [TransferredWait(7, None, 1_500.5), TransferredWait(8, "s-\udcff", 2_000.0)]
     encoded = encode_state(TransferredState(is_out_of_service=False, clients=[], waits=waits))
--- a/winchspan/api/events.py
+++ b/winchspan/api/events.py
@@ -132,6 +132,19 @@
     wait_ns: int
 
 
+@dataclass(slots=True, frozen=True)
+class KeyPaused:
+    """Another process has seen a call of an ordering key end without a response; it may still run.
+
+    Attributes:
+        key: the ordering key.
+        pause_ns: time before the next message of the key may be sent, from now on.
+    """
+
+    key: int
+    pause_ns: int
+
+
 @dataclass(slots=True, frozen=True)
 class TimerFired:
     """A timer that was set with `SetTimer` has expired."""
@@ -162,6 +175,7 @@
     | NotificationAcknowledged
     | AttemptCompleted
     | WaitRequested
+    | KeyPaused
     | TimerFired
     | MessageWithdrawn
     | PeerNote
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -39,7 +39,7 @@
 from winchspan.runtime.clock import ms_to_ns
 from winchspan.runtime.metrics import Metrics
 from winchspan.scheduling.scheduler import Scheduler
-from winchspan.scheduling.state import RequestedWait, requested_waits
+from winchspan.scheduling.state import PausedKey, RequestedWait, requested_waits
 from winchspan.storage.journal_records import JournalEntry
 
 
@@ -176,6 +176,16 @@
         destinations = self._context.scheduler.destinations.values()
         return requested_waits(destinations, ms_to_ns(self._context.clock.now()))
 
+    def pause_key(self, key: int, pause_ms: float) -> None:
+        """Send no message of an ordering key for `pause_ms`, since an earlier call of it may still run."""
+        self._events.post(api.KeyPaused(key, ms_to_ns(pause_ms)))
+
+    def paused_keys(self) -> list[PausedKey]:
+        """Return the ordering keys of which no message may be sent yet."""
+        now_ns = ms_to_ns(self._context.clock.now())
+        paused = self._context.scheduler.key_paused_until_ns.items()
+        return [PausedKey(key, until_ns) for key, until_ns in paused if until_ns > now_ns]
+
     # ---- lifecycle ---------------------------------------------------------------------------------------
     def recover(self) -> None:
         """Resume the open messages of the previous incarnation, in the order of their acceptance."""
@@ -235,6 +245,10 @@
         """Return the earliest deadline of an open message, on the engine's clock; infinite without one."""
         return min((each.deadline_ms for each in self._table if not each.is_completed), default=math.inf)
 
+    def decide_pending(self) -> None:
+        """Decide on the queued events at once, so that their effects can be exported."""
+        self._cycle.run()
+
     def is_settled(self) -> bool:
         """Return whether all calls in flight have started, and the journal has no backlog."""
         if self._journal_retry.has_backlog:
--- a/winchspan/scheduling/scheduler.py
+++ b/winchspan/scheduling/scheduler.py
@@ -97,15 +97,10 @@
                 self.health.record_arrival(self._accept(event).destination, self.now)
             case api.AttemptCompleted():
                 self._complete_attempt(event)
-            case api.WaitRequested(number, endpoint_id, wait_ns):
-                destination = self._destination(number)
-                endpoint = self.endpoints.get(endpoint_id)
-                self._begin_wait(destination, endpoint.limit if endpoint else destination.limit, wait_ns)
-            case api.MessageRecovered():
-                self._recover(event)
-            case api.SlowStartRecovered():
-                limit = self._destination(event.destination).limit
-                self.health.slow_starts.restore(limit, event, self.now)
+            case api.WaitRequested():
+                self._request_wait(event)
+            case api.MessageRecovered() | api.SlowStartRecovered() | api.KeyPaused():
+                self._restore(event)
             case api.NotificationAcknowledged(message) if message in self.unacknowledged:
                 self._release_key(self.unacknowledged.pop(message))
             case api.EndpointsUpdated():
@@ -115,6 +110,17 @@
             case api.TimerFired():
                 self.timer_ns = NEVER
 
+    def _restore(self, event: api.MessageRecovered | api.SlowStartRecovered | api.KeyPaused) -> None:
+        """Continue with what an earlier process of the courier knew."""
+        match event:
+            case api.MessageRecovered():
+                self._recover(event)
+            case api.SlowStartRecovered():
+                limit = self._destination(event.destination).limit
+                self.health.slow_starts.restore(limit, event, self.now)
+            case api.KeyPaused(key, pause_ns):
+                self.key_paused_until_ns[key] = self.now + pause_ns
+
     def _advance_virtual_time(self) -> None:
         if self.active and self.v_updated_ns is not None:
             self.v += (self.now - self.v_updated_ns) * self.settings.slots // len(self.active)
@@ -339,6 +345,11 @@
         else:
             self._record_failure(call, event, duration_ns)
 
+    def _request_wait(self, event: api.WaitRequested) -> None:
+        destination = self._destination(event.destination)
+        endpoint = self.endpoints.get(event.endpoint)
+        self._begin_wait(destination, endpoint.limit if endpoint else destination.limit, event.wait_ns)
+
     def _begin_wait(self, destination: Destination, limit: RateLimit, wait_ns: int) -> None:
         """Start no call under a limit for a while, and recall those that are not written."""
         limit.retry_after_ns = max(limit.retry_after_ns, self.now + wait_ns)
--- a/winchspan/scheduling/state.py
+++ b/winchspan/scheduling/state.py
@@ -184,6 +184,18 @@
     until_ns: int
 
 
+class PausedKey(NamedTuple):
+    """An ordering key of which no first attempt may start yet, since an earlier call may still run.
+
+    Attributes:
+        key: the ordering key.
+        until_ns: the clock reading at which the pause ends.
+    """
+
+    key: int
+    until_ns: int
+
+
 def requested_waits(destinations: Iterable[Destination], now: int) -> list[RequestedWait]:
     """Return the waits that end after `now`."""
     waits = []
--- a/winchspan/upgrade/hand_over_server.py
+++ b/winchspan/upgrade/hand_over_server.py
@@ -193,8 +193,8 @@
             return
         self._perform(actions, same_program=same_program)
         await self._drain()
-        time_to_deadline_ms = self._actions.time_to_deadline_ms()
         transfer = self._actions.freeze_and_export()
+        time_to_deadline_ms = self._actions.time_to_deadline_ms()
         frozen_ms = self._now()
         await self._transfer(connection, transfer, time_to_deadline_ms)
         self._commit(connection)
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -18,6 +18,7 @@
 from winchspan.upgrade.transferred_state import (
     CourierState,
     IdleConnection,
+    TransferredKeyPause,
     TransferredState,
     TransferredWait,
 )
@@ -132,6 +133,10 @@
         )
         if not self._same_program:
             state.waits = self._waits()
+            state.paused_keys = [
+                TransferredKeyPause(key, ns_to_ms(until_ns))
+                for key, until_ns in self._components.engine.paused_keys()
+            ]
             return self._export(state, client_descriptors)
         state.courier = self._courier_state(busy, idle)
         busy_descriptors = [connection.fileno() for connection in busy]
@@ -190,6 +195,7 @@
 
     def _freeze(self) -> None:
         self.is_frozen = True
+        self._components.engine.decide_pending()  # a cancelled call pauses its ordering key
         self._has_suspended_engine = not self._components.engine.is_suspended
         self._components.engine.set_suspended(True)
         self._components.notifications.suspend(True)
--- a/winchspan/upgrade/legacy_pickle.py
+++ b/winchspan/upgrade/legacy_pickle.py
@@ -4,8 +4,8 @@
 `{"drained": bool, "clients": [(unread bytes, is answered, faults, since ms), ...]}`. Every version reads it,
 so its form must not change. Every version ignores further keys: `received_after` (of the clients, ms or None)
 `ended` (since when it is complete, and a list of id, end and whether delivered), `configuration` (the
-fields of `ConfigurationInForce`), `classes` (those of `ClassesState`) and `waits` (a list of those of
-`TransferredWait`).
+fields of `ConfigurationInForce`), `classes` (those of `ClassesState`), `waits` (a list of those of
+`TransferredWait`) and `paused_keys` (a list of those of `TransferredKeyPause`).
 
 Between programs of the same fingerprint, versions up to 5bc3544 pickled their live objects. The tables below
 map the names in such a state to the present ones. They can be removed once no supported version writes it.
@@ -30,6 +30,7 @@
 from winchspan.upgrade.transferred_state import (
     CourierState,
     IdleConnection,
+    TransferredKeyPause,
     TransferredState,
     TransferredWait,
 )
@@ -125,6 +126,8 @@
         fields["classes"] = tuple(state.classes)
     if state.waits:
         fields["waits"] = [tuple(wait) for wait in state.waits]
+    if state.paused_keys:
+        fields["paused_keys"] = [tuple(pause) for pause in state.paused_keys]
     return dump(fields)
 
 
@@ -153,6 +156,7 @@
         configuration=ConfigurationInForce(*fields["configuration"]) if "configuration" in fields else None,
         classes=ClassesState(*fields["classes"]) if "classes" in fields else None,
         waits=[TransferredWait(*wait) for wait in fields.get("waits", [])],
+        paused_keys=[TransferredKeyPause(*pause) for pause in fields.get("paused_keys", [])],
     )
     if "courier" in fields:
         state.courier = CourierState(
--- a/winchspan/upgrade/restore.py
+++ b/winchspan/upgrade/restore.py
@@ -11,7 +11,12 @@
 from winchspan.runtime.system import System
 from winchspan.upgrade.courier_components import CourierComponents
 from winchspan.upgrade.take_over import InheritedState
-from winchspan.upgrade.transferred_state import CourierState, TransferredState, TransferredWait
+from winchspan.upgrade.transferred_state import (
+    CourierState,
+    TransferredKeyPause,
+    TransferredState,
+    TransferredWait,
+)
 
 
 def restore_courier(
@@ -39,6 +44,7 @@
         _restore_engine(components, state.courier, sockets[:call_count])
     else:
         _restore_waits(components, state.waits)
+        _restore_paused_keys(components, state.paused_keys)
         components.engine.recover()
     for sock, client in zip(sockets[call_count:], state.clients, strict=False):
         components.clients.adopt(loop, sock, client, inherited.drain_requested_ms)
@@ -56,6 +62,14 @@
             components.engine.begin_wait(wait.destination, number, wait.until_ms - now_ms)
 
 
+def _restore_paused_keys(components: CourierComponents, pauses: list[TransferredKeyPause]) -> None:
+    """Continue the pauses of the other process, before any message is recovered."""
+    now_ms = components.clock.now()
+    for pause in pauses:
+        if pause.until_ms > now_ms:
+            components.engine.pause_key(pause.key, pause.until_ms - now_ms)
+
+
 def _restore_engine(
     components: CourierComponents, courier: CourierState, sockets: list[socket.socket]
 ) -> None:
--- a/winchspan/upgrade/transferred_state.py
+++ b/winchspan/upgrade/transferred_state.py
@@ -58,6 +58,18 @@
     until_ms: float
 
 
+class TransferredKeyPause(NamedTuple):
+    """An ordering key of which no message may be sent yet, since an earlier call may still run.
+
+    Attributes:
+        key: the ordering key.
+        until_ms: when the pause ends, in ms of the monotonic clock, which both processes share.
+    """
+
+    key: int
+    until_ms: float
+
+
 @dataclass(slots=True)
 class TransferredState:
     """The state that a new process takes over, in addition to the descriptors of the connections.
@@ -72,6 +84,7 @@
         classes: the message classes in force; None from a program that does not tell.
         courier: None from a program of another fingerprint. The new process then recovers from the journal.
         waits: the waits in force, which `courier` contains otherwise.
+        paused_keys: the paused ordering keys, which `courier` contains otherwise.
     """
 
     is_out_of_service: bool
@@ -81,3 +94,4 @@
     classes: ClassesState | None = None
     courier: CourierState | None = None
     waits: list[TransferredWait] = field(default_factory=list)
+    paused_keys: list[TransferredKeyPause] = field(default_factory=list)
