Leave the new process its share of the time by which a message may end late

A message may end 300 ms after its deadline. A freeze could last 200 ms of them, and behind it the new process may read adopted calls for 50 ms and wait 100 ms for the acknowledgement of a notification: 350 ms. The freeze now ends 150 ms behind the first deadline, so that the three are 300 ms together, which a test states.

--- a/tests/test_upgrade_state_machine.py
+++ b/tests/test_upgrade_state_machine.py
@@ -8,9 +8,12 @@
 from hypothesis import settings as options
 from hypothesis import strategies as st
 
+from winchspan.application.adoption_gate import MAX_DELAY_MS
+from winchspan.net.notifications import RESPONSE_LIMIT_MS
 from winchspan.upgrade.state_machine import (
     DRAIN_TIMEOUT_MS,
     LEAST_TRANSFER_TIMEOUT_MS,
+    MAX_LATENESS_MS,
     TRANSFER_TIMEOUT_MS,
     HandOverAction,
     HandOverState,
@@ -76,8 +79,9 @@
 
 def test_transfer_ends_before_a_message_is_late_and_a_slow_process_gets_more_time():
     """Guards against late final answers, and against a process that can never take over under load."""
-    late_ms = 300.0
-    assert transfer_timeout_ms(0.0, 0) == LEAST_TRANSFER_TIMEOUT_MS < late_ms
+    assert transfer_timeout_ms(0.0, 0) == LEAST_TRANSFER_TIMEOUT_MS
+    # The new process reads what it adopted, and then its notification must be acknowledged.
+    assert LEAST_TRANSFER_TIMEOUT_MS + MAX_DELAY_MS + RESPONSE_LIMIT_MS <= MAX_LATENESS_MS == 300.0
     assert transfer_timeout_ms(-50.0, 0) == LEAST_TRANSFER_TIMEOUT_MS
     assert transfer_timeout_ms(400.0, 0) == LEAST_TRANSFER_TIMEOUT_MS + 400.0
     assert transfer_timeout_ms(math.inf, 0) == TRANSFER_TIMEOUT_MS
--- a/winchspan/upgrade/state_machine.py
+++ b/winchspan/upgrade/state_machine.py
@@ -8,8 +8,10 @@
 DRAIN_TIMEOUT_MS: Final = 700.0  # longer than the limit for the rest of a partly received response
 CALL_DRAIN_TIMEOUT_MS: Final = 1_200.0  # drain timeout if calls in flight cannot be handed over
 TRANSFER_TIMEOUT_MS: Final = 1_500.0  # most time for the new process to receive and decode the state
-LEAST_TRANSFER_TIMEOUT_MS: Final = 200.0  # a message may end 300 ms after its deadline
-MAX_TIMEOUT_DOUBLINGS: Final = 3
+MAX_LATENESS_MS: Final = 300.0  # a message may end this long after its deadline
+LEAST_TRANSFER_TIMEOUT_MS: Final = 150.0  # the new process needs the rest of MAX_LATENESS_MS
+TIMEOUT_GROWTH: Final = 4  # per failed transfer
+MAX_TIMEOUT_GROWTHS: Final = 2
 
 
 def transfer_timeout_ms(time_to_deadline_ms: float, failed_transfers: int) -> float:
@@ -22,7 +24,7 @@
         time_to_deadline_ms: time to the first deadline of an open message; 0 if a notification is due.
         failed_transfers: transfers that have timed out in a row.
     """
-    least_ms = LEAST_TRANSFER_TIMEOUT_MS * (1 << min(failed_transfers, MAX_TIMEOUT_DOUBLINGS))
+    least_ms = LEAST_TRANSFER_TIMEOUT_MS * float(TIMEOUT_GROWTH ** min(failed_transfers, MAX_TIMEOUT_GROWTHS))
     return min(TRANSFER_TIMEOUT_MS, least_ms + max(0.0, time_to_deadline_ms))
 
 
