--- a/tests/test_delivery_engine.py
+++ b/tests/test_delivery_engine.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 
 import pytest
+from loguru import logger
 
 from winchspan import api
 from winchspan.api import Outcome
@@ -26,6 +28,19 @@
     assert world.open_ids() == [] and not world.transport.notifications
 
 
+def test_log_names_a_final_answer_behind_its_deadline(tmp_path: Path):
+    world, lines = World(tmp_path), list[str]()
+    world.submit("in time", left=300.0)
+    world.submit("late", left=500.0)
+    sink = logger.add(lambda text: lines.append(str(text)), format="{message}")
+    world.run(310)
+    world.kill()  # restarts behind the deadline
+    logger.remove(sink)
+    late_ends = [line for line in lines if "after its deadline" in line]
+    assert len(late_ends) == 1
+    assert re.fullmatch(r"message late ends 4\d\d ms after its deadline: \w+\n", late_ends[0])
+
+
 def test_accept_of_duplicate_keeps_one_message(tmp_path: Path):
     world = World(tmp_path)
     world.submit("a")
--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -87,6 +87,7 @@
     upgrade.begin(copy_with_changed_scheduler(tmp_path / "other"))
     upgrade.assert_notified_in_time()
     upgrade.finish()
+    assert "upgrade: waits for 1 calls to 127.0.0.1:" in upgrade.harness.read_log()
 
 
 def test_message_that_expires_while_a_held_response_is_awaited_is_notified_in_time(upgrade: Upgrade):
@@ -101,6 +102,7 @@
     upgrade.begin(ROOT)
     upgrade.assert_notified_in_time()
     upgrade.finish()
+    assert "; 1 of them with a held response" in harness.read_log()
 
 
 def connect_client_that_does_not_read(harness: CourierHarness) -> None:
--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -87,7 +87,6 @@
         )
         self._selection = create_components(self._resources, self._process_control())
         self.engine = create_engine(self._resources, self._selection)
-        self._resources.transport.on_wait = self.engine.begin_wait
         for component in self.components:
             component.attach_engine(self.engine)
         self._watch = DiscoveryWatch(
--- a/winchspan/application/assembly.py
+++ b/winchspan/application/assembly.py
@@ -18,8 +18,11 @@
 
 
 def create_engine(resources: CourierResources, selection: ComponentSelection) -> DeliveryEngine:
-    """Create the delivery engine with the ports that the optional components provide."""
-    return DeliveryEngine(
+    """Create the delivery engine with the ports that the optional components provide.
+
+    The transport reports to it the waits that responses ask for.
+    """
+    engine = DeliveryEngine(
         resources.settings,
         resources.config.seed,
         EnginePorts(
@@ -36,6 +39,8 @@
             selection.replication,
         ),
     )
+    resources.transport.on_wait = engine.begin_wait
+    return engine
 
 
 def create_client_connections(
