Time a stop from SIGTERM, also where a hand-over in progress fails first

The platform kills at 3.7 s, so that its calls in flight would have been cut off, its clients too. Cause: the steps of the stop were timed from the end of the failed hand-over. Change: they are timed from SIGTERM.

--- a/tests/test_application_shutdown.py
+++ b/tests/test_application_shutdown.py
@@ -22,7 +22,8 @@
 class StoppingCourier:
     """A pool and client connections that share a clock, with a shutdown that has begun."""
 
-    def __init__(self) -> None:
+    def __init__(self, delay_ms: float = 0.0) -> None:
+        """Request a shutdown, which begins `delay_ms` later."""
         self.clients, self.clock, self.timers = client_connections(FakeIntake())
         self.loop = FakeLoop()
         self.pool = HttpConnectionPool(
@@ -41,7 +42,10 @@
             recall_unwritten=self.pool.recall_all_unwritten,
             end=lambda: self.steps.append("end"),
         )
-        GracefulShutdown(self.clients, self.timers, actions).begin()
+        shutdown = GracefulShutdown(self.clients, self.clock, self.timers, actions)
+        shutdown.request()
+        self.clock.advance(delay_ms)
+        shutdown.begin()
 
     def start_call(self) -> HttpConnection:
         self.pool.start_call(
@@ -80,3 +84,12 @@
     connection.connection_made(FakeTransport())
     courier.pass_time(STOP_ATTEMPTS_AFTER_MS)
     assert courier.outcomes == []
+
+
+def test_shutdown_that_begins_late_takes_no_longer():
+    """Guards against a SIGKILL within calls: the time of a hand-over that fails is part of the stop's."""
+    courier = StoppingCourier(delay_ms=STOP_ATTEMPTS_AFTER_MS)
+    courier.pass_time(1.0)
+    assert courier.steps == ["freeze"]
+    courier.pass_time(END_AFTER_MS - STOP_ATTEMPTS_AFTER_MS)
+    assert courier.steps == ["freeze", "end"]
--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -107,7 +107,7 @@
             recall_unwritten=self._resources.connections.recall_all_unwritten,
             end=self._ended.set,
         )
-        return GracefulShutdown(self._clients, self._resources.timers, actions)
+        return GracefulShutdown(self._clients, self._resources.clock, self._resources.timers, actions)
 
     @property
     def components(self) -> list[Component]:
@@ -348,6 +348,7 @@
 
     def stop(self) -> None:
         """Shut down gracefully, unless a component completes the stop itself."""
+        self._shutdown.request()
         if not any(component.request_stop() for component in self.components):
             self._begin_shutdown()
 
--- a/winchspan/application/shutdown.py
+++ b/winchspan/application/shutdown.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from winchspan.net.client_listener import ClientConnections
+from winchspan.runtime.clock import Clock
 from winchspan.runtime.timers import TimerQueue
 
 STOP_LISTENING_AFTER_MS: Final = 700.0  # clients still connect for 400 ms after SIGTERM
@@ -39,28 +40,40 @@
 class GracefulShutdown:
     """Shuts down a process: connected clients are answered, and attempts in flight may complete."""
 
-    def __init__(self, clients: ClientConnections, timers: TimerQueue, actions: ShutdownActions) -> None:
+    def __init__(
+        self, clients: ClientConnections, clock: Clock, timers: TimerQueue, actions: ShutdownActions
+    ) -> None:
         """Create an idle shutdown sequence.
 
         Args:
             clients: the client connections.
+            clock: the courier's clock.
             timers: schedule the later steps.
             actions: what the shutdown does and asks.
         """
         self._clients = clients
+        self._clock = clock
         self._timers = timers
         self._actions = actions
+        self._requested_ms: float | None = None
+
+    def request(self) -> None:
+        """Count the time of the steps from now on: a hand-over in progress is completed first."""
+        if self._requested_ms is None:
+            self._requested_ms = self._clock.now()
 
     def begin(self) -> None:
         """Begin the shutdown, unless it has begun already."""
         if self._clients.is_stopping:
             return
+        self.request()
+        assert self._requested_ms is not None
         logger.info("stopping: {} attempts in flight", self._actions.in_flight_count())
         self._clients.begin_shutdown()
-        self._timers.call_later(STOP_LISTENING_AFTER_MS, self._clients.stop_listening)
-        self._timers.call_later(STOP_LISTENING_AFTER_MS, self._end_once_idle)
-        self._timers.call_later(STOP_ATTEMPTS_AFTER_MS, self._stop_attempts)
-        self._timers.call_later(END_AFTER_MS, self._actions.end)
+        self._timers.call_at(self._requested_ms + STOP_LISTENING_AFTER_MS, self._clients.stop_listening)
+        self._timers.call_at(self._requested_ms + STOP_LISTENING_AFTER_MS, self._end_once_idle)
+        self._timers.call_at(self._requested_ms + STOP_ATTEMPTS_AFTER_MS, self._stop_attempts)
+        self._timers.call_at(self._requested_ms + END_AFTER_MS, self._actions.end)
 
     def _stop_attempts(self) -> None:
         """Start no attempt, and recall those whose connection is still coming up; the next process has them.
