--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -5,24 +5,21 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
 from winchspan import api
-from winchspan.application.adoption_gate import AdoptionGate
 from winchspan.application.assembly import create_client_connections, create_engine
 from winchspan.application.capacity import max_client_connections, spare_descriptor_count
 from winchspan.application.component import Component, OperatorOptions
-from winchspan.application.discovery_gate import DiscoveryGate
 from winchspan.application.registry import ComponentFactory, ProcessControl
 from winchspan.application.resources import engine_settings, open_resources, pool_timeouts, transport_settings
 from winchspan.application.shutdown import GracefulShutdown, ShutdownActions
+from winchspan.application.start_gates import recover_and_await_discovery, suspend_until_adopted_input
 from winchspan.config.json_fields import FieldError
 from winchspan.config.platform import ConfigError, PlatformConfig
 from winchspan.config.reload import reload_platform_config
-from winchspan.delivery.context import AttemptHold
 from winchspan.net.discovery_watch import DiscoveryWatch
 from winchspan.runtime.system import Listener, System
 
@@ -228,10 +225,7 @@
         if inherited is not None and inherited.state is not None:
             self._restore_inherited(inherited)
         elif self._selection.replication is None:  # with replication, once this courier owns the journal
-            self.engine.hold_attempts(AttemptHold.DISCOVERY)
-            self.engine.recover()
-            resources = self._resources
-            DiscoveryGate(self._watch, resources.clock, resources.timers, self._on_discovery_settled).start()
+            recover_and_await_discovery(self.engine, self._watch, self._resources)
 
     def _restore_inherited(self, inherited: InheritedState) -> None:
         from winchspan.upgrade.restore import restore_courier
@@ -241,12 +235,7 @@
         for component in self.components:
             component.on_state_restored(self.engine.overload_control)
         if self._selection.replication is None:  # with replication, once this courier owns the journal
-            resources = self._resources
-            resume = partial(self.engine.set_suspended, False)
-            AdoptionGate(resources.connections, resources.clock, resources.timers, resume).start()
-
-    def _on_discovery_settled(self) -> None:
-        self.engine.release_attempts(AttemptHold.DISCOVERY)
+            suspend_until_adopted_input(self.engine, self._resources)
 
     def _start_serving(self) -> None:
         self._watch.open()
