--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -47,6 +47,7 @@
     def begin(self, program: Path) -> None:
         """Start the new process, and wait until the serving one drains."""
         assert self.harness.process is not None
+        assert self.client.request(PING) == b"+PONG\r\n"  # the courier closes it after 2.1 idle seconds
         self._processes.append(self.harness.process)
         self.harness.program = program
         self.harness.start_process()
