Take a request that came during a failed hand-over for as old as the freeze, not as its connection

Cause: the freeze paused reading without noting since when. Change: every pause of reading notes it.

Failed before: test_request_that_comes_during_a_freeze_that_fails_ends_in_its_time[idle client]; with an active and a new client it passed.

--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -24,6 +24,8 @@
 LONG_REMAINING_MS = 1_000  # enough for a state to be read beside load
 CLIENT_TIMEOUT_SECONDS = 0.4  # of a client for its reply
 STALL_SECONDS = 2.0  # of a new process, longer than the time for a transfer
+SHORT_STALL_SECONDS = 0.8  # of a new process, shorter than that
+EARLY_SECONDS = 0.1  # a message may end before its deadline, for its notification
 BLOCKED_SECONDS = 0.3  # without progress of a client's write
 
 
@@ -166,3 +168,36 @@
     assert time.monotonic() - connected_at < CLIENT_TIMEOUT_SECONDS
     assert "handed over" not in upgrade.harness.read_log()
     upgrade.finish()
+
+
+@pytest.mark.parametrize(
+    ("idle_seconds", "connects_anew"),
+    [(0.0, False), (1.0, False), (0.0, True)],
+    ids=["active client", "idle client", "new client"],
+)
+def test_request_that_comes_during_a_freeze_that_fails_ends_in_its_time(
+    upgrade: Upgrade, idle_seconds: float, connects_anew: bool
+):
+    """Guards against requests that lay unread in a freeze, and count as just received behind it."""
+    harness, is_read = upgrade.harness, threading.Event()
+
+    def stall(_state: bytes) -> None:
+        is_read.set()
+        time.sleep(SHORT_STALL_SECONDS)
+        raise HandOverError("raised by the test")
+
+    assert upgrade.client.request(PING) == b"+PONG\r\n"
+    time.sleep(idle_seconds)
+    successor = threading.Thread(
+        target=receive_hand_over, args=(harness.folder / "state", "other", stall), daemon=True
+    )
+    successor.start()
+    assert is_read.wait(WAIT_TIMEOUT_SECONDS)
+    due_at = time.monotonic() + LONG_REMAINING_MS / 1_000
+    request = encode_submit("brief", dest=8, remaining_ms=LONG_REMAINING_MS)
+    client = harness.connect_client() if connects_anew else upgrade.client
+    assert client.request(request) == b"+OK\r\n"
+    assert time.monotonic() >= due_at - LONG_REMAINING_MS / 1_000 + SHORT_STALL_SECONDS / 2
+    harness.wait_for_notification("brief")
+    assert due_at - EARLY_SECONDS <= time.monotonic() <= due_at + LATE_SECONDS
+    successor.join()
--- a/winchspan/net/buffered_connection.py
+++ b/winchspan/net/buffered_connection.py
@@ -55,7 +55,7 @@
         if not paused:
             self._update_reading()
         elif self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+            self._pause_reading(self._transport)
 
     def _update_reading(self) -> None:
         """Pause reading while replies or requests are pending; resume it otherwise."""
@@ -63,14 +63,18 @@
         if transport is None or transport.is_closing() or self._shut_down_at_ms is not None:
             return
         if self._is_write_blocked or self._is_resume_due:
-            if transport.is_reading():
-                self._receive_age.pause()
-            transport.pause_reading()
+            self._pause_reading(transport)
         else:
             if not transport.is_reading():
                 self._receive_age.resume()
             transport.resume_reading()
 
+    def _pause_reading(self, transport: asyncio.Transport) -> None:
+        """Pause reading; input that comes meanwhile is as old as the pause."""
+        if transport.is_reading():
+            self._receive_age.pause()
+        transport.pause_reading()
+
     def _is_socket_ready(self, event: int) -> bool:
         """Whether the system reports an event for the socket; False for an emulated connection."""
         sock = self._transport.get_extra_info("socket") if self._transport is not None else None
