--- a/tests/test_drawn_days.py
+++ b/tests/test_drawn_days.py
@@ -1,23 +1,28 @@
-"""Days of the emulator that are drawn by seed: waits in all kinds of responses, and upgrades of both kinds.
+"""Days of the emulator that are drawn by seed: waits in all kinds of responses, and upgrades of all kinds.
 
 `python -m tests.test_drawn_days FIRST LAST` plays the days of more seeds.
 """
 
 from __future__ import annotations
 
+import math
 import random
 import sys
 import tempfile
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import NamedTuple
 
+import msgspec
 import pytest
 from loguru import logger
 
 from winchspan import api
+from winchspan.delivery.engine import DeliveryEngine
+from winchspan.fakes.clients import Stream
 from winchspan.fakes.partner import Outage, OutageMode, PartnerSettings
-from winchspan.fakes.platform import ENDPOINT_KIND
+from winchspan.fakes.platform import ENDPOINT_KIND, SECOND_NS
 from winchspan.fakes.scenario import Scenario, storm_scenario
 from winchspan.net.connection_pool import HttpConnectionPool
 from winchspan.net.http_connection import HttpConnection
@@ -38,6 +43,17 @@
 MESSAGES_PER_CALL = 5
 UPGRADE_KINDS = (FaultKind.UPGRADE, FaultKind.UPGRADE_TO_OTHER_PROGRAM)
 OUTAGE_MODES = (OutageMode.SILENT, OutageMode.HANGING, OutageMode.REFUSING)
+UPGRADES_PER_COURIER = 3  # that fail
+LONGEST_STALL_MS = 600.0  # of a new process that fails
+BOOKING = api.MessageClass(
+    "seat-booking",
+    worth=2.0,
+    latency_objective_ns=4 * SECOND_NS,
+    deadline_ns=12 * SECOND_NS,
+    late_worth=0.4,
+    effect=api.Effect.ONCE,
+    ordered=True,
+)
 LONGEST_SERIES_GAP_MS = 2_500.0  # between two upgrades of a series
 
 
@@ -70,9 +86,52 @@
     return scenario, Environment(link, faults=tuple(faults))
 
 
-def play_day(folder: Path, seed: int) -> Counter[str]:
-    """Play the day of a seed, and return the number of violations of each rule."""
+def draw_day_of_ordered_messages(seed: int) -> tuple[Scenario, Environment]:
+    """Draw a day with at-most-once messages of few keys, hanging endpoints, and other programs."""
+    rng = random.Random(seed)
+    begin = rng.uniform(1_000.0, 3_000.0)
+    outage = Outage(begin, begin + rng.uniform(2_000.0, 6_000.0), OutageMode.HANGING)
+    partner = PartnerSettings(number=PARTNER, listed=20.0, capacity=24.0, service=100.0, outages=(outage,))
+    rate, key_count = rng.choice((4.0, 12.0)), rng.choice((3, 10))
+    scenario = storm_scenario(
+        partner=partner,
+        streams=(
+            Stream(BOOKING.name, PARTNER, rate, keys=key_count),
+            Stream(BOOKING.name, 8, 3.0, keys=key_count),
+        ),
+        duration_ms=DURATION_MS,
+        changes={"classes": {BOOKING.name: BOOKING}},
+    )
+    faults = [
+        InjectedFault(
+            begin + rng.uniform(0.0, 2_000.0), FaultKind.UPGRADE_TO_OTHER_PROGRAM, courier_host(number)
+        )
+        for number in range(scenario.couriers)
+    ]
+    faults.sort(key=lambda fault: fault.at_ms)
+    return scenario, Environment(LinkProfile(0.2, 0.0), faults=tuple(faults))
+
+
+def draw_day_of_failing_upgrades(seed: int) -> tuple[Scenario, Environment]:
+    """Draw a day whose new processes stall and fail, so that the serving ones resume behind a freeze."""
     scenario, environment = draw_day(seed)
+    rng = random.Random(seed)
+    faults = [fault for fault in environment.faults if fault.kind not in UPGRADE_KINDS]
+    for number in range(scenario.couriers):
+        for _ in range(UPGRADES_PER_COURIER):
+            at_ms, stall_ms = rng.uniform(1_500.0, 10_000.0), rng.uniform(50.0, LONGEST_STALL_MS)
+            faults.append(
+                InjectedFault(at_ms, FaultKind.FAILED_UPGRADE, courier_host(number), duration_ms=stall_ms)
+            )
+    faults.sort(key=lambda fault: fault.at_ms)
+    return scenario, msgspec.structs.replace(environment, faults=tuple(faults))
+
+
+def play_day(
+    folder: Path, seed: int, draw: Callable[[int], tuple[Scenario, Environment]] = draw_day
+) -> Counter[str]:
+    """Play the day of a seed, and return the number of violations of each rule."""
+    scenario, environment = draw(seed)
     played = Emulation(scenario, seed, folder, environment=environment).play()
     counts = Counter({str(rule): count for rule, count in played.violation_counts.items() if count})
     if played.result.unended:
@@ -98,38 +157,69 @@
     assert play_day(tmp_path, seed) == {}
 
 
-@pytest.mark.parametrize(
-    ("rule", "seed", "owner", "method", "replacement"),
-    [
-        (Rule.WAIT, 1, HttpConnectionPool, "report_head", do_nothing),
-        (Rule.END, 2, HandOverSource, "start_drain", suspend_in_drain),
-        (Rule.WAIT, 14, HandOverSource, "_waits", lambda self: []),
-        (Rule.END, 47, HttpConnection, "accept_held_response", do_nothing),
-    ],
-    ids=["wait of a held response", "end in a drain", "wait over an upgrade", "end behind a held response"],
-)
+@pytest.mark.parametrize("seed", [3, 4, 9])
+def test_drawn_day_of_ordered_messages_breaks_no_rule(tmp_path: Path, seed: int):
+    assert play_day(tmp_path, seed, draw_day_of_ordered_messages) == {}
+
+
+@pytest.mark.parametrize("seed", [3, 5, 22])
+def test_drawn_day_of_failing_upgrades_breaks_no_rule(tmp_path: Path, seed: int):
+    assert play_day(tmp_path, seed, draw_day_of_failing_upgrades) == {}
+
+
+class RemovedMend(NamedTuple):
+    """A mend that is taken out, and a day on which its rule is broken then."""
+
+    rule: Rule
+    seed: int
+    owner: type
+    method: str
+    replacement: Callable[..., object]
+    draw: Callable[[int], tuple[Scenario, Environment]] = draw_day
+
+
+REMOVED_MENDS = {
+    "wait of a held response": RemovedMend(Rule.WAIT, 1, HttpConnectionPool, "report_head", do_nothing),
+    "end in a drain": RemovedMend(Rule.END, 2, HandOverSource, "start_drain", suspend_in_drain),
+    "wait over an upgrade": RemovedMend(Rule.WAIT, 14, HandOverSource, "_waits", lambda self: []),
+    "end behind a held response": RemovedMend(
+        Rule.END, 47, HttpConnection, "accept_held_response", do_nothing
+    ),
+    "rest of a key over an upgrade": RemovedMend(
+        Rule.ORDER, 3, DeliveryEngine, "paused_keys", lambda self: [], draw_day_of_ordered_messages
+    ),
+    "result that is queued at a freeze": RemovedMend(
+        Rule.ORDER, 4, DeliveryEngine, "decide_pending", do_nothing, draw_day_of_ordered_messages
+    ),
+    "end in a freeze": RemovedMend(
+        Rule.END,
+        3,
+        HandOverSource,
+        "time_to_deadline_ms",
+        lambda self: math.inf,
+        draw_day_of_failing_upgrades,
+    ),
+}
+
+
+@pytest.mark.parametrize("mend", REMOVED_MENDS.values(), ids=REMOVED_MENDS.keys())
 def test_drawn_day_finds_a_fault_whose_mend_is_taken_out(
-    tmp_path: Path,
-    monkeypatch: pytest.MonkeyPatch,
-    rule: Rule,
-    seed: int,
-    owner: type,
-    method: str,
-    replacement: Callable[..., object],
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, mend: RemovedMend
 ):
-    monkeypatch.setattr(owner, method, replacement)
-    assert play_day(tmp_path, seed)[rule] > 0
+    monkeypatch.setattr(mend.owner, mend.method, mend.replacement)
+    assert play_day(tmp_path, mend.seed, mend.draw)[mend.rule] > 0
 
 
 def main(first: int, last: int) -> int:
-    """Play the days of some seeds; return the number of days that broke a rule."""
+    """Play the days of some seeds, each of all kinds; return the number of days that broke a rule."""
     logger.remove()
     broken_days = 0
     for seed in range(first, last + 1):
-        with tempfile.TemporaryDirectory() as folder:
-            counts = play_day(Path(folder), seed)
-        broken_days += bool(counts)
-        print(f"seed {seed}: {dict(counts) or 'no rule broken'}", flush=True)
+        for draw in (draw_day, draw_day_of_ordered_messages, draw_day_of_failing_upgrades):
+            with tempfile.TemporaryDirectory() as folder:
+                counts = play_day(Path(folder), seed, draw)
+            broken_days += bool(counts)
+            print(f"{draw.__name__}, seed {seed}: {dict(counts) or 'no rule broken'}", flush=True)
     return broken_days
 
 
--- a/winchspan/net/buffered_connection.py
+++ b/winchspan/net/buffered_connection.py
@@ -9,6 +9,7 @@
 
 from winchspan.net.receive_age import ReceiveAge
 from winchspan.net.receive_buffer import ReceiveBuffer
+from winchspan.net.socket_state import has_unread_input
 from winchspan.runtime.poll_monitor import PollMonitor
 
 
@@ -48,7 +49,7 @@
     @property
     def has_unread_bytes(self) -> bool:
         """Whether the socket holds bytes that the loop has not read yet."""
-        return self._is_socket_ready(select.POLLIN)
+        return self._transport is not None and has_unread_input(self._transport)
 
     def pause_for_hand_over(self, paused: bool) -> None:
         """Pause reading during an upgrade, or resume it."""
--- a/winchspan/simulation/audit/auditor.py
+++ b/winchspan/simulation/audit/auditor.py
@@ -88,6 +88,7 @@
         courier.started_at_ns = self._now_ns()
         courier.is_running = True
         courier.waits = {}
+        courier.key_rest_ends_ns = {}
         courier.endpoints = {}
 
     def on_courier_stopped(self, host: str) -> None:
--- a/winchspan/simulation/audit/calls.py
+++ b/winchspan/simulation/audit/calls.py
@@ -107,6 +107,11 @@
         if state in (CallState.OK, CallState.GONE):
             self._registry.finish(message, now_ns)
 
+    def on_unanswered(self, courier: CourierRecord, message: MessageRecord, now_ns: int) -> None:
+        """Handle the end of a connection before the response: the message may still be executed."""
+        if message.ordering_key:
+            courier.key_rest_ends_ns[message.ordering_key] = now_ns + self._settings.key_rest_ns
+
     @staticmethod
     def on_wait(courier: CourierRecord, now_ns: int, destination: int, wait_ms: float) -> None:
         """Handle a response in which a destination announces a wait; the wait that ends last is in force."""
@@ -134,6 +139,17 @@
             )
         message.call_in_flight = call.connection
         self._check_repeat(call, message)
+        self._check_order(call, message)
+
+    def _check_order(self, call: CallStart, message: MessageRecord) -> None:
+        rest_end_ns = call.courier.key_rest_ends_ns.get(message.ordering_key, 0)
+        if not message.was_called and call.begin_ns < rest_end_ns - GRACE_NS:
+            left_ms = (rest_end_ns - call.begin_ns) / NS_PER_MS
+            evidence = (
+                f"key {message.ordering_key}: an earlier call may still run, {left_ms:.0f} ms more to rest"
+            )
+            self._violations.record(Rule.ORDER, message.id, call.begin_ns, evidence)
+        message.was_called = True
         head = self._registry.head_of_line(message)
         if head is not message:
             evidence = f"key {message.ordering_key}: {head.id} was submitted before, and is not finished"
--- a/winchspan/simulation/audit/outgoing_connection.py
+++ b/winchspan/simulation/audit/outgoing_connection.py
@@ -169,4 +169,6 @@
             state = CallState.LATER
         for message in self._called_messages:
             self._checkers.calls.on_result(message, self._request_begin_ns, now_ns, state)
+            if state is CallState.ERROR:
+                self._checkers.calls.on_unanswered(self._courier, message, now_ns)
         self._called_messages = []
--- a/winchspan/simulation/audit/records.py
+++ b/winchspan/simulation/audit/records.py
@@ -38,6 +38,7 @@
         notified_state: the final state that a notification has announced; empty for none.
         acknowledged_at_ns: time when the notification was acknowledged; 0 if it was not.
         call_in_flight: the connection of its call in flight; None for none.
+        was_called: whether a call of it has begun.
         possibly_executed_since_ns: start of the first call that may have executed it; None for none.
         is_overdue_reported: whether the violation that it is overdue has been recorded.
     """
@@ -56,6 +57,7 @@
     notified_state: str = ""
     acknowledged_at_ns: int = 0
     call_in_flight: object | None = None
+    was_called: bool = False
     possibly_executed_since_ns: int | None = None
     is_overdue_reported: bool = False
 
@@ -89,7 +91,7 @@
 
 @dataclass(slots=True)
 class CourierRecord:
-    """A courier, with the endpoints and waits that its current incarnation has received.
+    """A courier, with the endpoints and waits that its current incarnation has received, and its keys' rests.
 
     Attributes:
         host: its host.
@@ -99,6 +101,7 @@
         is_running: whether it runs and has not been signalled to end.
         endpoints: its endpoint list, by name.
         waits: the waits announced to it, by destination.
+        key_rest_ends_ns: time until which no message of a key may begin its first call, by ordering key.
         offline_since_ns: time when operators took an endpoint offline, by name.
         classes: the message classes in force at this courier; None for the platform's.
     """
@@ -110,6 +113,7 @@
     is_running: bool = False
     endpoints: dict[str, EndpointRecord] = field(default_factory=dict)
     waits: dict[int, WaitWindow] = field(default_factory=dict)
+    key_rest_ends_ns: dict[str, int] = field(default_factory=dict)
     offline_since_ns: dict[str, int] = field(default_factory=dict)
     classes: Mapping[str, MessageClass] | None = None
 
--- a/winchspan/simulation/audit/rules.py
+++ b/winchspan/simulation/audit/rules.py
@@ -32,7 +32,7 @@
     Rule.END: "an accepted message ends in time, once, and in one way",
     Rule.COPY: "no message has two calls in flight at once",
     Rule.REPEAT: "a message that may have been executed is sent again only as far as its class allows",
-    Rule.ORDER: "messages of one key are delivered one at a time, in the order of their submission",
+    Rule.ORDER: "messages of one key are delivered one by one, in order, and rest behind an unanswered call",
     Rule.DRAIN: "no call begins at an endpoint later than the grace after it began to drain or was removed",
     Rule.WAIT: "no call begins at a destination while a wait that it has announced is in force",
     Rule.DESTINATION: "a message goes to endpoints of its destination only",
--- a/winchspan/simulation/emulated_courier.py
+++ b/winchspan/simulation/emulated_courier.py
@@ -207,8 +207,13 @@
         )
         return next(names, "")
 
-    def upgrade(self, *, same_program: bool = True) -> None:
-        """Start an upgrade to a new process of the same or of another program, if the courier serves."""
+    def upgrade(self, *, same_program: bool = True, stall_ms: float = 0.0) -> None:
+        """Start an upgrade to a new process of the same or of another program, if the courier serves.
+
+        Args:
+            same_program: whether the new process is of the same program.
+            stall_ms: time after which the new process fails with the state unread; 0: it takes over.
+        """
         incarnation = self.machine.incarnation
         listener = self.machine.network.find_listener(self.port)
         if not self.is_serving or self._application is None or incarnation is None or listener is None:
@@ -222,6 +227,7 @@
         self._upgrade = EmulatedUpgrade(
             self._application, incarnation, listener, start_successor, same_program=same_program
         )
+        self._upgrade.stall_ms = stall_ms
         self._upgrade.start()
 
     def use_changed_settings(self) -> None:
--- a/winchspan/simulation/emulated_upgrade.py
+++ b/winchspan/simulation/emulated_upgrade.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from winchspan.application.application import Application
+from winchspan.runtime.clock import MS_PER_SECOND
 from winchspan.simulation.incarnation import Incarnation
 from winchspan.simulation.listener import EmulatedListener
 from winchspan.simulation.loop import NS_PER_MS
@@ -19,7 +20,7 @@
 from winchspan.upgrade.hand_over_server import DRAIN_POLL_SECONDS, StateTransfer
 from winchspan.upgrade.hand_over_source import HandOverSource
 from winchspan.upgrade.state_codec import decode_state
-from winchspan.upgrade.state_machine import HandOverAction, HandOverStateMachine
+from winchspan.upgrade.state_machine import HandOverAction, HandOverStateMachine, transfer_timeout_ms
 from winchspan.upgrade.take_over import InheritedState
 
 TRANSFER_SECONDS: Final = 0.02
@@ -46,6 +47,7 @@
 
     Attributes:
         is_over: whether it has ended, successfully or not.
+        stall_ms: time after which the new process fails with the state unread; 0: it takes over.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
             same_program: whether the new process is of the same program.
         """
         self.is_over = False
+        self.stall_ms = 0.0
         self._incarnation = incarnation
         self._listener = listener
         self._start_successor = start_successor
@@ -112,7 +115,18 @@
             logger.warning("upgrade: {}", err)
             self._execute(self._state_machine.on_new_process_lost())
             return
-        self._loop.call_later(TRANSFER_SECONDS, self._on_transferred, transfer)
+        if self.stall_ms:
+            timeout_ms = transfer_timeout_ms(self._source.time_to_deadline_ms(), failed_transfers=0)
+            self._incarnation.suspend()  # bounds the age of what it reads behind the freeze
+            self._loop.call_later(min(self.stall_ms, timeout_ms) / MS_PER_SECOND, self._on_failed)
+        else:
+            self._loop.call_later(TRANSFER_SECONDS, self._on_transferred, transfer)
+
+    def _on_failed(self) -> None:
+        if self._incarnation.is_alive:
+            self._incarnation.resume()
+            self._execute(self._state_machine.on_new_process_lost())
+        self.is_over = True
 
     def _on_transferred(self, transfer: StateTransfer) -> None:
         if not self._incarnation.is_alive:  # killed during the transfer: the next start recovers the journal
--- a/winchspan/simulation/environment.py
+++ b/winchspan/simulation/environment.py
@@ -59,6 +59,8 @@
     """A new process takes over from the courier `source`."""
     UPGRADE_TO_OTHER_PROGRAM = "replace"
     """A new process that decides differently takes over from the courier `source`."""
+    FAILED_UPGRADE = "stall"
+    """A new process stalls for the duration while it takes over from the courier `source`, and fails."""
     SUSPEND = "hang"
     """The process of the courier `source` is suspended for the duration."""
     RESPONSE_COPIES = "copies"
--- a/winchspan/simulation/fault_injector.py
+++ b/winchspan/simulation/fault_injector.py
@@ -120,6 +120,8 @@
                 courier.upgrade()
             case FaultKind.UPGRADE_TO_OTHER_PROGRAM:
                 courier.upgrade(same_program=False)
+            case FaultKind.FAILED_UPGRADE:
+                courier.upgrade(stall_ms=fault.duration_ms)
             case FaultKind.DRAIN:
                 courier.request("/control/out-of-service")
                 duration_seconds = fault.duration_ms / MS_PER_SECOND
