Freeze for less than a client waits for its reply, at the first transfer

A new process that stalled with the state unread froze the serving one for up to 1.5 s where no message was due: every client gave up after 0.4 s, and a response that came meanwhile was lost to a kill. The first transfer now has 0.35 s, the next ones four times as long, 1.5 s at most, as before for a process that needs it.

--- a/winchspan/upgrade/state_machine.py
+++ b/winchspan/upgrade/state_machine.py
@@ -10,6 +10,7 @@
 TRANSFER_TIMEOUT_MS: Final = 1_500.0  # most time for the new process to receive and decode the state
 MAX_LATENESS_MS: Final = 300.0  # a message may end this long after its deadline
 LEAST_TRANSFER_TIMEOUT_MS: Final = 150.0  # the new process needs the rest of MAX_LATENESS_MS
+FIRST_TRANSFER_TIMEOUT_MS: Final = 350.0  # clients wait 400 ms for a reply
 TIMEOUT_GROWTH: Final = 4  # per failed transfer
 MAX_TIMEOUT_GROWTHS: Final = 2
 
@@ -17,15 +18,17 @@
 def transfer_timeout_ms(time_to_deadline_ms: float, failed_transfers: int) -> float:
     """Return the time for a transfer, after which the frozen process resumes.
 
-    A message that expires meanwhile still ends in time. Where a new process has needed longer, its next
-    transfers get more time: otherwise a slow one could never take over under load.
+    A message that expires meanwhile still ends in time, and a client still gets its reply in time. Where a
+    new process has needed longer, its next transfers get more time: otherwise a slow one could never take
+    over under load.
 
     Args:
         time_to_deadline_ms: time to the first deadline of an open message; 0 if a notification is due.
         failed_transfers: transfers that have timed out in a row.
     """
-    least_ms = LEAST_TRANSFER_TIMEOUT_MS * float(TIMEOUT_GROWTH ** min(failed_transfers, MAX_TIMEOUT_GROWTHS))
-    return min(TRANSFER_TIMEOUT_MS, least_ms + max(0.0, time_to_deadline_ms))
+    growth = float(TIMEOUT_GROWTH ** min(failed_transfers, MAX_TIMEOUT_GROWTHS))
+    in_time_ms = growth * LEAST_TRANSFER_TIMEOUT_MS + max(0.0, time_to_deadline_ms)
+    return min(in_time_ms, growth * FIRST_TRANSFER_TIMEOUT_MS, TRANSFER_TIMEOUT_MS)
 
 
 class HandOverState(Enum):
