--- a/tests/test_simulation_environment.py
+++ b/tests/test_simulation_environment.py
@@ -63,5 +63,6 @@
         "hang",
         "copies",
         "replace",
+        "stall",
         "waits",
     }
