Hand over since when each client's connection is unread

Callers saw: behind a hand-over with a drain of 1.2 s a request that had met the freeze was answered -BUSY where it had less time than that, or its message ended early by as much. Cause: an idle connection was handed over without the age of its input, and the new process took the start of the drain, in which the old one still read. Change: the old process tells since when it has not read.

--- a/winchspan/net/client_connection.py
+++ b/winchspan/net/client_connection.py
@@ -54,8 +54,8 @@
         bad_request_count: number of bad requests.
         active_since_ms: clock reading of the accept, the last reply, or the begin of the incomplete request,
             whichever is the latest.
-        received_after_ms: clock reading after which the bytes that it has not processed were received; None:
-            after it was read last, or not known if `unread` is not empty.
+        received_after_ms: clock reading after which the bytes that it has not processed or not read were
+            received; None: not known.
     """
 
     unread: bytes
@@ -337,11 +337,11 @@
         )
         return file_descriptor(self._transport), state
 
-    def _received_after_ms(self) -> float | None:
-        """Return the clock reading after which the unprocessed bytes were received; None: there are none."""
-        if self._is_resume_due or self._is_write_blocked:
+    def _received_after_ms(self) -> float:
+        """Return the clock reading after which the unprocessed and the unread bytes were received."""
+        if len(self._receive_buffer):
             return self._receive_age.paused_since_ms
-        return self._receive_age.received_after_ms if len(self._receive_buffer) else None
+        return self._receive_age.unread_since_ms
 
     def import_state(self, state: ClientConnectionState) -> None:
         """Restore the state that another process has exported."""
--- a/winchspan/net/client_listener.py
+++ b/winchspan/net/client_listener.py
@@ -366,7 +366,7 @@
         state: ClientConnectionState,
         read_until_ms: float,
     ) -> None:
-        """Take over a connection that another process has accepted, and read until `read_until_ms`.
+        """Take over a connection that another process has accepted, and read until `read_until_ms` at least.
 
         Guards against taking requests that waited in the other process for requests of now.
         """
@@ -375,5 +375,5 @@
         received_after_ms = state.received_after_ms
         if received_after_ms is None:
             received_after_ms = float("-inf") if state.unread else read_until_ms
-        connection.mark_unread_since(min(received_after_ms, read_until_ms))
+        connection.mark_unread_since(received_after_ms)
         self._add_with_transport(loop, connection, sock)
--- a/winchspan/net/receive_age.py
+++ b/winchspan/net/receive_age.py
@@ -32,6 +32,11 @@
         """Record that reading is paused."""
         self._unread_since_ms = self._poll_monitor.received_after_ms
 
+    @property
+    def unread_since_ms(self) -> float:
+        """Clock reading after which all bytes were received that are unread while reading is paused."""
+        return self._unread_since_ms
+
     @property
     def paused_since_ms(self) -> float:
         """Clock reading after which all bytes were received that wait while reading is paused."""
