Hand over since when the clients in the backlog wait

Callers saw: a client that connected as a hand-over with a drain of 1.2 s ended was answered -BUSY where its message had less time than the new process had run, or its message ended early by as much. Cause: the new process took the backlog for as old as itself, though the old one accepts until no call is awaited. Change: the state tells since when; a program that does not tell is read as before.

--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -205,7 +205,10 @@
     successor.join()
 
 
-def test_request_that_comes_as_a_long_drain_ends_is_accepted(upgrade: Upgrade, tmp_path: Path):
+@pytest.mark.parametrize("connects_anew", [False, True], ids=["open connection", "new connections"])
+def test_request_that_comes_as_a_long_drain_ends_is_accepted(
+    upgrade: Upgrade, tmp_path: Path, connects_anew: bool
+):
     """Guards against requests that count as old as the drain, in which the serving process still read."""
     harness = upgrade.harness
     harness.submit(encode_submit("hanging"))
@@ -214,7 +217,8 @@
     replies: list[bytes] = []
     while harness.read_log().count(SERVING_LOG_LINE) < 2:  # one of the requests meets the freeze
         request = encode_submit(f"request-{len(replies)}", dest=8, remaining_ms=LONG_REMAINING_MS)
-        replies.append(upgrade.client.request(request))
+        client = harness.connect_client() if connects_anew else upgrade.client
+        replies.append(client.request(request))
         time.sleep(REQUEST_INTERVAL_SECONDS)
     assert set(replies) == {b"+OK\r\n"}
     upgrade.finish()
--- a/tests/test_upgrade_state_codec.py
+++ b/tests/test_upgrade_state_codec.py
@@ -272,6 +272,11 @@
     assert list(plain) == ["drained", "clients"] and {type(row) for row in plain["clients"]} == {tuple}
 
 
+def test_age_of_the_backlog_passes_to_another_program():
+    encoded = encode_state(TransferredState(is_out_of_service=False, clients=[], backlog_since_ms=1_500.5))
+    assert decode_state(encoded).backlog_since_ms == 1_500.5
+
+
 def test_paused_keys_pass_to_another_program():
     pauses = [TransferredKeyPause(5, 1_500.5)]
     encoded = encode_state(TransferredState(is_out_of_service=False, clients=[], paused_keys=pauses))
--- a/winchspan/net/backlog_age.py
+++ b/winchspan/net/backlog_age.py
@@ -22,6 +22,15 @@
         """Record that the clients in the backlog may have connected at any time."""
         self._waiting_since_ms = float("-inf")
 
+    @property
+    def waiting_since_ms(self) -> float | None:
+        """Clock reading after which every client in the backlog has connected; None: it is empty."""
+        return self._waiting_since_ms
+
+    def mark_waiting_since(self, at_ms: float) -> None:
+        """Record that another process has found the backlog empty, or accepted from it, until `at_ms`."""
+        self._waiting_since_ms = at_ms
+
     def resume(self) -> None:
         """Record that accepting starts."""
         self._checked_at_poll = self._poll_monitor.poll_count
--- a/winchspan/net/client_listener.py
+++ b/winchspan/net/client_listener.py
@@ -338,6 +338,15 @@
         else:
             self._start_accepting()
 
+    @property
+    def backlog_since_ms(self) -> float | None:
+        """Clock reading after which the clients in the backlog have connected; None: there are none."""
+        return self._backlog_age.waiting_since_ms
+
+    def adopt_backlog(self, since_ms: float) -> None:
+        """Take over a backlog in which no client has connected before `since_ms`, before `listen`."""
+        self._backlog_age.mark_waiting_since(since_ms)
+
     def untransferable_count(self) -> int:
         """Return how many cannot be transferred yet: being accepted or closed, or with unsent replies."""
         return len(self._tasks) + sum(not connection.is_transferable for connection in self._connections)
--- a/winchspan/upgrade/hand_over_source.py
+++ b/winchspan/upgrade/hand_over_source.py
@@ -127,6 +127,7 @@
         state = TransferredState(
             is_out_of_service=self._components.clients.is_out_of_service,
             clients=[client for _, client in clients],
+            backlog_since_ms=self._components.clients.backlog_since_ms,
             ended=self._components.engine.export_ended(),
             configuration=self._components.configuration_in_force(),
             classes=self._components.engine.export_classes(),
--- a/winchspan/upgrade/legacy_pickle.py
+++ b/winchspan/upgrade/legacy_pickle.py
@@ -5,7 +5,7 @@
 so its form must not change. Every version ignores further keys: `received_after` (of the clients, ms or None)
 `ended` (since when it is complete, and a list of id, end and whether delivered), `configuration` (the
 fields of `ConfigurationInForce`), `classes` (those of `ClassesState`), `waits` (a list of those of
-`TransferredWait`) and `paused_keys` (a list of those of `TransferredKeyPause`).
+`TransferredWait`), `paused_keys` (a list of those of `TransferredKeyPause`) and `backlog_since` (ms).
 
 Between programs of the same fingerprint, versions up to 5bc3544 pickled their live objects. The tables below
 map the names in such a state to the present ones. They can be removed once no supported version writes it.
@@ -124,6 +124,8 @@
         fields["configuration"] = tuple(state.configuration)
     if state.classes is not None:
         fields["classes"] = tuple(state.classes)
+    if state.backlog_since_ms is not None:
+        fields["backlog_since"] = state.backlog_since_ms
     if state.waits:
         fields["waits"] = [tuple(wait) for wait in state.waits]
     if state.paused_keys:
@@ -155,6 +157,7 @@
         ended=_ended_messages(fields["ended"]) if "ended" in fields else None,
         configuration=ConfigurationInForce(*fields["configuration"]) if "configuration" in fields else None,
         classes=ClassesState(*fields["classes"]) if "classes" in fields else None,
+        backlog_since_ms=fields.get("backlog_since"),
         waits=[TransferredWait(*wait) for wait in fields.get("waits", [])],
         paused_keys=[TransferredKeyPause(*pause) for pause in fields.get("paused_keys", [])],
     )
--- a/winchspan/upgrade/records.py
+++ b/winchspan/upgrade/records.py
@@ -366,6 +366,7 @@
         ended: the messages that have ended recently; None: not known.
         configuration: the platform's configuration in force; None: not known.
         classes: the message classes in force; None: not known.
+        backlog_since_ms: time after which the clients in the backlog have connected; None: not known.
     """
 
     version: int
@@ -375,3 +376,4 @@
     ended: EndedMessagesRecord | None = None
     configuration: ConfigurationRecord | None = None
     classes: ClassesRecord | None = None
+    backlog_since_ms: float | None = None
--- a/winchspan/upgrade/restore.py
+++ b/winchspan/upgrade/restore.py
@@ -49,6 +49,8 @@
     for sock, client in zip(sockets[call_count:], state.clients, strict=False):
         components.clients.adopt(loop, sock, client, inherited.drain_requested_ms)
     _restore_idle_connections(components, state, sockets[idle_start:])
+    if state.backlog_since_ms is not None:
+        components.clients.adopt_backlog(state.backlog_since_ms)
     if state.is_out_of_service:
         components.clients.begin_drain()
 
--- a/winchspan/upgrade/state_codec.py
+++ b/winchspan/upgrade/state_codec.py
@@ -85,6 +85,7 @@
         ended=None if state.ended is None else ended_to_record(state.ended),
         configuration=None if state.configuration is None else ConfigurationRecord(*state.configuration),
         classes=None if state.classes is None else ClassesRecord(*state.classes),
+        backlog_since_ms=state.backlog_since_ms,
     )
     try:
         return MAGIC + msgspec.msgpack.encode(record)
@@ -109,6 +110,7 @@
         ended=None if record.ended is None else ended_from_record(record.ended),
         configuration=None if record.configuration is None else _configuration(record.configuration),
         classes=None if record.classes is None else _classes(record.classes),
+        backlog_since_ms=record.backlog_since_ms,
         courier=CourierState(
             engine=engine_from_record(courier.engine, calls),
             endpoint_directory=directory_from_record(courier.endpoint_directory),
--- a/winchspan/upgrade/transferred_state.py
+++ b/winchspan/upgrade/transferred_state.py
@@ -79,6 +79,8 @@
     Attributes:
         is_out_of_service: whether an operator has taken the courier out of service.
         clients: the state of the clients' connections, in the order of their descriptors.
+        backlog_since_ms: clock reading after which the clients in the backlog of the listening socket have
+            connected; None from a program that does not tell.
         ended: messages that have ended recently; None from a program that does not tell.
         configuration: the configuration in force; None from a program that does not tell.
         classes: the message classes in force; None from a program that does not tell.
@@ -89,6 +91,7 @@
 
     is_out_of_service: bool
     clients: list[ClientConnectionState]
+    backlog_since_ms: float | None = None
     ended: EndedMessagesState | None = None
     configuration: ConfigurationInForce | None = None
     classes: ClassesState | None = None
