--- a/tests/test_delivery_engine.py
+++ b/tests/test_delivery_engine.py
@@ -10,6 +10,7 @@
 
 from winchspan import api
 from winchspan.api import Outcome
+from winchspan.delivery.context import AttemptHold
 from winchspan.delivery.errors import BadRequestError, RejectedError
 from winchspan.delivery.messages import AttemptResult, OutgoingMessage, SubmittedMessage
 
@@ -380,3 +381,21 @@
     assert len(world.transport.calls) <= 2, world.sent_ids()
     world.run(8_000)
     assert world.transport.calls, "the destination must be tried again"
+
+
+def test_attempts_start_once_every_hold_has_ended_and_final_answers_do_not_wait(tmp_path: Path):
+    """Guards against a hand-over that ends the hold of a start, or holds up final answers."""
+    world = World(tmp_path)
+    world.engine.hold_attempts(AttemptHold.DISCOVERY)
+    world.engine.hold_attempts(AttemptHold.HAND_OVER)
+    world.submit("a")
+    world.submit("brief", left=100.0)
+    world.run(110)
+    assert world.sent_ids() == []
+    assert list(world.transport.notifications) == ["brief"]
+    world.engine.release_attempts(AttemptHold.HAND_OVER)
+    world.run(20)
+    assert world.sent_ids() == []
+    world.engine.release_attempts(AttemptHold.DISCOVERY)
+    world.run(20)
+    assert world.sent_ids() == [["a"]]
--- a/tests/test_simulation_network.py
+++ b/tests/test_simulation_network.py
@@ -188,3 +188,24 @@
         assert d.events == [], "a process that has ended is not notified"
 
     machines.run(scenario)
+
+
+def test_process_that_ends_before_its_first_step_closes_the_connections_it_inherited():
+    """Guards against a connection that stays open: the system closes all descriptors of a process."""
+    machines = TwoMachines()
+
+    async def scenario() -> None:
+        a, b = await machines.connect()
+        descriptor = b.transport.get_extra_info("descriptor")
+        inherited = machines.network.find_connection_end(descriptor)
+        machines.server.release_connection(inherited)
+        machines.server.kill()
+        successor = machines.b.start_program()
+        successor.inherit_connection(inherited)
+        await asyncio.sleep(1)
+        assert a.events == []
+        successor.kill()
+        await asyncio.sleep(1)
+        assert a.events[-1:] != []
+
+    machines.run(scenario)
