Count stalls of an audit that follow each other as one

Cause: a stall noticed right behind another replaced it, though the data of a new connection is read an iteration after it is accepted. Change: it continues it.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from pathlib import Path
 
@@ -38,6 +39,7 @@
 
 CALL = b"POST /hook HTTP/1.1\r\nX-Request-Id: 0001a\r\nContent-Length: 0\r\n\r\n"
 STALL_SECONDS = 0.5
+SHORT_STALL_SECONDS = 0.1
 
 
 @pytest.mark.parametrize("is_closed", [True, False])
@@ -92,6 +94,35 @@
     assert audit.lost_messages(time.monotonic()) == ([] if is_stalled else ["m"])
 
 
+@pytest.mark.parametrize("is_stalled", [True, False])
+def test_soak_audit_counts_a_notification_on_a_new_connection_from_when_it_can_have_come(is_stalled: bool):
+    """Guards against a message told as lost since the audit stalled in a row: to accept, and to read."""
+    audit = SoakAudit()
+
+    async def play() -> None:
+        destination = AuditedDestination(ProcessFleet(endpoints=1), random.Random(1), audit)
+        platform = AuditedPlatform(destination, 10.0, audit)
+        await platform.open()
+        body = b'{"id":"m","state":"failed"}'
+        await asyncio.sleep(0.1)
+        accepted = Accepted(0, "order-payment", due_at=time.monotonic() - LATE_SECONDS + SHORT_STALL_SECONDS)
+        audit.accepted["m"] = accepted
+        if not is_stalled:
+            await asyncio.sleep(STALL_SECONDS)
+        with socket.create_connection((HOST, platform.port)) as connection:
+            connection.sendall(
+                b"POST /v1/notices HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
+            while accepted.ended_at is None:
+                if is_stalled:
+                    time.sleep(SHORT_STALL_SECONDS)
+                await asyncio.sleep(0)
+        platform.close()
+
+    asyncio.run(play())
+    assert audit.lost_messages(time.monotonic()) == ([] if is_stalled else ["m"])
+
+
 def test_soak_audit_names_each_broken_rule():
     """Guards against an audit that overlooks a broken rule, so that no day can fail by it."""
     audit = SoakAudit()
--- a/winchspan/fakes/event_loop_stall_monitor.py
+++ b/winchspan/fakes/event_loop_stall_monitor.py
@@ -30,18 +30,27 @@
     def _tick(self) -> None:
         now = self._clock()
         if self._is_late(now):
-            self._stalled_at, self._resumed_at = self._last_tick_at, now
+            self._stalled_at, self._resumed_at = self._current_stall_begin(), now
         self._last_tick_at = now
         self._loop.call_later(TICK_SECONDS, self._tick)
 
     def _is_late(self, now: float) -> bool:
         return now - self._last_tick_at > TICK_SECONDS + LATE_TICK_SECONDS
 
+    def _current_stall_begin(self) -> float:
+        """Return the begin of a stall that is noticed now; one that follows another continues it.
+
+        The data of a new connection is read in the iteration after that which accepts it, or a later one.
+        """
+        if self._last_tick_at - self._resumed_at <= CATCH_UP_SECONDS:
+            return self._stalled_at
+        return self._last_tick_at
+
     def max_read_delay_seconds(self) -> float:
         """Return an upper bound on how long data that is read now lay unread; 0 without a stall."""
         now = self._clock()
         if self._is_late(now):
-            return now - self._last_tick_at
+            return now - self._current_stall_begin()
         if now - self._resumed_at <= CATCH_UP_SECONDS:
             return now - self._stalled_at
         return 0.0
