--- a/winchspan/net/client_connection.py
+++ b/winchspan/net/client_connection.py
@@ -339,8 +339,10 @@
 
     def _received_after_ms(self) -> float:
         """Return the clock reading after which the unprocessed and the unread bytes were received."""
-        if len(self._receive_buffer):
+        if self._is_resume_due or self._is_write_blocked:
             return self._receive_age.paused_since_ms
+        if len(self._receive_buffer):
+            return self._receive_age.received_after_ms
         return self._receive_age.unread_since_ms
 
     def import_state(self, state: ClientConnectionState) -> None:
