--- a/tests/test_crossings_calls.py
+++ b/tests/test_crossings_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import shutil
 import signal
@@ -30,6 +31,7 @@
 JOURNAL_LIMIT_BYTES = 1_000_000
 SLOWEST_RESPONSE_SECONDS = 1.5
 LATE_IN_STOP_SECONDS = 2.2  # shortly before the last attempts of a stop
+SLOW_PLATFORM_SECONDS = 0.15  # between a notification and its acknowledgement
 
 
 @pytest.fixture
@@ -440,3 +442,21 @@
     harness.submit(encode_submit("next"))
     wait_for("the next message", lambda: "next" in harness.endpoint.message_ids())
     assert harness.endpoint.message_ids().count("held") == 1
+
+
+def test_notification_is_acknowledged_though_the_platform_answers_late(harness: CourierHarness):
+    """Guards against a notification that is given up each time before a slow platform has answered it."""
+
+    def answer_late(call: Call) -> None:
+        time.sleep(SLOW_PLATFORM_SECONDS)
+        with contextlib.suppress(OSError):
+            call.write(b"HTTP/1.1 204 x\r\n\r\n")
+
+    harness.discovery.on_notification = answer_late
+    harness.start()
+    harness.submit(encode_submit("brief", remaining_ms=300))
+    harness.wait_for_notification("brief")
+    time.sleep(1.0)
+    count = len(harness.discovery.notifications)
+    time.sleep(1.0)
+    assert len(harness.discovery.notifications) == count
