Keep the client's connection in use until a hand-over drains, in the tests of hand-overs and waits

Its connection had been idle while the new process started, and the courier closes one after 2.1 s; forced in, where one PING before the start was not enough for such a start. It sends PING until the drain begins.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -434,3 +434,13 @@
             self.listener.close()
         self.discovery.close()
         self.endpoint.close()
+
+
+def wait_for_drain(harness: CourierHarness, client: Client) -> None:
+    """Wait until a new process asks to take over; the client keeps its connection from falling idle."""
+
+    def is_draining() -> bool:
+        assert client.request(PING) == b"+PONG\r\n"
+        return "asks to take over" in harness.read_log()
+
+    wait_for("the drain", is_draining)
--- a/tests/test_hand_over_final_answers_processes.py
+++ b/tests/test_hand_over_final_answers_processes.py
@@ -14,12 +14,11 @@
 from winchspan.upgrade.fingerprint import program_fingerprint
 from winchspan.upgrade.hand_over_client import receive_hand_over
 
-from .loopback import PING, ROOT, WAIT_TIMEOUT_SECONDS, Client, CourierHarness, encode_submit, wait_for
+from .loopback import PING, ROOT, WAIT_TIMEOUT_SECONDS, Client, CourierHarness, encode_submit, wait_for_drain
 from .test_upgrade_processes import copy_with_changed_scheduler
 
 REMAINING_MS = 200
 LATE_SECONDS = 0.35  # from the deadline of a message to the latest allowed notification
-DRAIN_LOG_LINE = "asks to take over"
 LONGEST_SLOW_RESPONSE_SECONDS = 1.0
 LONG_REMAINING_MS = 1_000  # enough for a state to be read beside load
 CLIENT_TIMEOUT_SECONDS = 0.4  # of a client for its reply
@@ -36,7 +35,7 @@
 
     Attributes:
         harness: the courier.
-        client: a client's connection, which is open from the start.
+        client: a client's connection, which is open before the drain.
     """
 
     def __init__(self, harness: CourierHarness) -> None:
@@ -51,11 +50,11 @@
     def begin(self, program: Path) -> None:
         """Start the new process, and wait until the serving one drains."""
         assert self.harness.process is not None
-        assert self.client.request(PING) == b"+PONG\r\n"  # the courier closes it after 2.1 idle seconds
+        self.client = self.harness.connect_client()  # the one from the start may be closed as idle by now
         self._processes.append(self.harness.process)
         self.harness.program = program
         self.harness.start_process()
-        wait_for("the drain", lambda: DRAIN_LOG_LINE in self.harness.read_log())
+        wait_for_drain(self.harness, self.client)
 
     def assert_notified_in_time(self) -> None:
         """Submit a message that expires during the drain, and check when its notification comes."""
--- a/tests/test_wait_processes.py
+++ b/tests/test_wait_processes.py
@@ -24,6 +24,7 @@
     message_class,
     reset_connection,
     wait_for,
+    wait_for_drain,
 )
 from .test_crossings_calls import unread_byte_count
 from .test_hand_over_final_answers_processes import connect_client_that_does_not_read
@@ -159,7 +160,7 @@
 
 
 def submit_in_drain(harness: CourierHarness, client: Client) -> None:
-    wait_for("the drain", lambda: "asks to take over" in harness.read_log())
+    wait_for_drain(harness, client)
     assert client.request(encode_submit("queued")) == b"+OK\r\n"
 
 
