--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,60 +1,79 @@
-"""A partner hangs for 19 s; two of three couriers are killed in it, and come back as it does, cold."""
+"""Payments that must run once are called with again: their class was retuned, and their courier died."""
 
 from __future__ import annotations
 
 import asyncio
+import copy
+import signal
 import sys
 from pathlib import Path
 from typing import Any, Final
 
-from cold_partner_2 import ColdPartner, ColdRules, Traffic, judge, stream
-from stand_ins_2 import BROKEN, HELD, NS, Case, Client, Endpoint, kenanga_settings, run_case
+from stand_ins_2 import (
+    BROKEN,
+    HELD,
+    Case,
+    Client,
+    CouldNotRunError,
+    Endpoint,
+    Message,
+    answer_at_once,
+    never_answer,
+    new_id,
+    run_case,
+    varazdin_settings,
+)
 
-RULES: Final = ColdRules(start=0.23, cold_s=11.0, multiple=2.0, window_s=2.0)
-CAPACITY: Final = 3.4
-LISTED_RATE: Final = 2.7
-WARM_S: Final = 10.0
-HANG_S: Final = 19.0
-DOWN_S: Final = 2.5
-TAIL_S: Final = 12.0
-TRAFFIC: Final = (Traffic("order-payment", 24.0, 7, 1.25), Traffic("order-payment", 24.0, 8, 0.5))
+SETTLE_S: Final = 6.0
+PAYMENTS: Final = 6
+TIME_S: Final = 20.0
+DOWN_S: Final = 5.0
 
 
-def settings(count: int, number: int) -> dict[str, Any]:
-    """Return the site's settings; a partner is warm after 11 s (`cold_s = [11, 14]`)."""
-    values = kenanga_settings(count, number)
-    values["rules"]["cold_ns"] = int(RULES.cold_s * NS)
-    return values
+def retuned(settings: dict[str, Any]) -> dict[str, Any]:
+    """Return the settings with payments that are safe to repeat."""
+    changed = copy.deepcopy(settings)
+    for row in changed["request_classes"]:
+        if row["name"] == "payment":
+            row["idempotency"] = "repeatable"
+    return changed
 
 
 async def play(case: Case) -> int:
     """Play the case, and return the exit code."""
-    partner = ColdPartner(CAPACITY, RULES)
-    sick = Endpoint(case.record, "s-7", 7, "mid-host", LISTED_RATE)
-    sick.behaviour = partner.answer
-    well = Endpoint(case.record, "s-8", 8, "mid-host", 12.0)
-    couriers = await case.add_couriers(3, [sick, well], settings)
+    partner = Endpoint(case.record, "s-7", 7, "national", 20.0)
+    couriers = await case.add_fleet(3, [partner], varazdin_settings, "(copies 1)")
     client = Client(case.record)
-    tasks = [
-        asyncio.create_task(stream(case, client, courier, traffic))
-        for courier in couriers
-        for traffic in TRAFFIC
+    await asyncio.sleep(SETTLE_S)
+    partner.behaviour = never_answer
+    case.record.write("s-7 takes calls and answers none")
+    payments = [
+        await client.submit(couriers[1], Message(new_id(), "payment", 7, TIME_S)) for _ in range(PAYMENTS)
     ]
-    await asyncio.sleep(WARM_S)
-    partner.is_hanging = True
-    case.record.write("s-7 hangs")
-    await asyncio.sleep(HANG_S - DOWN_S)
+    if not all(payment.is_taken for payment in payments):
+        raise CouldNotRunError("the courier did not take the payments")
+    await asyncio.sleep(1.0)
+    for courier in couriers:
+        courier.settings = retuned(courier.settings)
+        courier.write_config()
+        courier.signal(signal.SIGHUP)
+    await asyncio.sleep(2.5)
     if case.has_trouble:
-        await case.kill(couriers[:2])
-    await asyncio.sleep(DOWN_S)
-    partner.come_back()
-    case.record.write("s-7 is back, cold")
-    if case.has_trouble:
-        await case.restart(couriers[:2])
-    await asyncio.sleep(TAIL_S)
-    for task in tasks:
-        task.cancel()
-    return BROKEN if judge(case.record, partner, sick) else HELD
+        await case.kill([couriers[1]])
+        await asyncio.sleep(DOWN_S)
+        await case.restart([couriers[1]])
+    else:
+        await asyncio.sleep(DOWN_S)
+    partner.behaviour = answer_at_once
+    case.record.write("s-7 answers again")
+    await asyncio.sleep(16.0)
+    doubled = 0
+    for payment in payments:
+        calls = [call for call in partner.calls if payment.id in call.ids]
+        case.record.write(f"{payment.id}: {[(call.source, call.outcome) for call in calls]}")
+        doubled += len(calls) > 1
+    case.record.write(f"{doubled} of {PAYMENTS} payments were called with again, though they may have run")
+    return BROKEN if doubled else HELD
 
 
 if __name__ == "__main__":
