--- a/review/7/play.py
+++ b/review/7/play.py
@@ -26,6 +26,7 @@
 
 SETTLE_S: Final = 6.0
 PAYMENTS: Final = 6
+OTHERS: Final = 18  # for a well partner: the silent one gets a quarter of the traffic
 TIME_S: Final = 20.0
 DOWN_S: Final = 5.0
 
@@ -42,7 +43,8 @@
 async def play(case: Case) -> int:
     """Play the case, and return the exit code."""
     partner = Endpoint(case.record, "s-7", 7, "national", 20.0)
-    couriers = await case.add_fleet(3, [partner], varazdin_settings, "(copies 1)")
+    well = Endpoint(case.record, "s-8", 8, "national", 20.0)
+    couriers = await case.add_fleet(3, [partner, well], varazdin_settings, "(copies 1)")
     client = Client(case.record)
     await asyncio.sleep(SETTLE_S)
     partner.behaviour = never_answer
@@ -52,6 +54,8 @@
     ]
     if not all(payment.is_taken for payment in payments):
         raise CouldNotRunError("the courier did not take the payments")
+    for number in range(OTHERS):
+        await client.submit(couriers[number % 3], Message(new_id(), "status-notice", 8, 16.0))
     await asyncio.sleep(1.0)
     for courier in couriers:
         courier.settings = retuned(courier.settings)
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -20,24 +20,25 @@
     Message,
     Request,
     answer_at_once,
-    kenanga_settings,
     new_id,
     run_case,
+    varazdin_settings,
 )
 
 KEYS: Final = 10
 SETTLE_S: Final = 6.0
 DOWN_S: Final = 3.5
 BUSY_S: Final = 2.0
-TIME_S: Final = 24.0
+TIME_S: Final = 20.0
+OTHERS: Final = 20  # for a well partner: the one that is shut gets a quarter of what is taken on
 HAND_IN_S: Final = 8.0
 
 
 class BusyPartner:
-    """Turns away all calls as above its limit, until it has room again."""
+    """Shuts and refuses all, until it opens again."""
 
     def __init__(self) -> None:
-        self.has_room = False
+        self.has_room = True
 
     async def answer(self, endpoint: Endpoint, request: Request) -> Answer | None:
         """Answer 503, or deliver."""
@@ -51,7 +52,7 @@
     """Hand in a message, again after each refusal, with a new id each time and its idempotency key."""
     token = new_id()
     for _ in range(int(HAND_IN_S / 0.4)):
-        message = Message(new_id(), "order-payment", destination, TIME_S, key=key, token=token)
+        message = Message(new_id(), "order-step", destination, TIME_S, key=key, token=token)
         await client.submit(courier, message)
         if message.is_taken:
             return message
@@ -92,15 +93,19 @@
 async def play(case: Case) -> int:
     """Play the case, and return the exit code."""
     partner = BusyPartner()
-    busy = Endpoint(case.record, "s-7", 7, "mid-host", 4.0)
+    busy = Endpoint(case.record, "s-7", 7, "regional", 4.0)
     busy.behaviour = partner.answer
-    well = Endpoint(case.record, "s-8", 8, "mid-host", 12.0)
+    well = Endpoint(case.record, "s-8", 8, "regional", 12.0)
     endpoints = [busy, well]
-    couriers = await case.add_fleet(3, endpoints, kenanga_settings, "(copies 1)")
+    couriers = await case.add_fleet(3, endpoints, varazdin_settings, "(copies 1)")
     client = Client(case.record)
     await asyncio.sleep(SETTLE_S)
     courier = couriers[1]
     keys = [random.getrandbits(52) for _ in range(KEYS)]
+    for number in range(OTHERS):
+        await client.submit(couriers[number % 3], Message(new_id(), "status-notice", 8, 16.0))
+    partner.has_room = False
+    case.record.write("s-7 is shut")
     first = [await hand_in(client, courier, 7, key) for key in keys]
     await asyncio.sleep(1.0)
     if case.has_trouble:
@@ -112,7 +117,7 @@
     second = list(await asyncio.gather(*[hand_in(client, courier, 8, key) for key in keys]))
     await asyncio.sleep(BUSY_S)
     partner.has_room = True
-    case.record.write("s-7 has room again")
+    case.record.write("s-7 is open again")
     await asyncio.sleep(12.0)
     if not any(message.is_taken for message in second):
         raise CouldNotRunError("the courier took none of the later messages")
