An outage that lasts is not forgotten at a restart, however long ago it began

That age ends a slow start; it says nothing of the end of an outage.

Change: a recovered outage ends with a delivery only. An outage that ends as transient is now recorded as ended.

--- a/tests/slow_start_fleet.py
+++ b/tests/slow_start_fleet.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from itertools import count
 
@@ -65,6 +65,7 @@
         chance_failures: share of the calls that fail at a healthy destination.
         late_calls: share of the calls with ten times the latency.
         restarts: share of the senders that restart in the middle of the outage, with their held messages.
+        down_seconds: the time for which these are down; not 0: they are back with the destination.
         new_endpoint: whether a further endpoint is listed in the middle of the outage.
         warm_up_seconds: the time before the outage.
         cool_down_seconds: the time after the outage in which messages arrive.
@@ -81,6 +82,7 @@
     chance_failures: float = 0.0
     late_calls: float = 0.0
     restarts: float = 0.0
+    down_seconds: float = 0.0
     new_endpoint: bool = False
     warm_up_seconds: float = 15.0
     cool_down_seconds: float = 20.0
@@ -154,6 +156,7 @@
     scheduler: Scheduler
     rate_per_s: float
     is_aware: bool = False
+    is_down: bool = False
     incarnation: int = 0
     held: dict[str, _HeldMessage] = field(default_factory=dict)
     recorded: api.RecordSlowStart | None = None  # the latest record, as in the journal
@@ -176,8 +179,9 @@
     ARRIVAL = 0
     TIMER = 1
     OUTCOME = 2
-    RESTART = 3
-    LISTING = 4
+    KILL = 3
+    START = 4
+    LISTING = 5
 
 
 class FleetPlay:
@@ -230,8 +234,12 @@
                     break
                 self._push(at_ns, _Kind.ARRIVAL, number, None)
         middle_ns = (self.outage_ns + self.return_ns) // 2
+        down_ns = int(self.day.down_seconds * SECOND)
+        kill_ns = self.return_ns - down_ns if down_ns else middle_ns
         for number in range(int(self.day.restarts * self.day.senders)):
-            self._push(middle_ns + self.rng.randrange(SECOND // 2), _Kind.RESTART, number, None)
+            killed_at_ns = kill_ns + self.rng.randrange(SECOND // 2)
+            self._push(killed_at_ns, _Kind.KILL, number, None)
+            self._push(killed_at_ns + down_ns, _Kind.START, number, None)
         if self.day.fault is Fault.REPLACE:
             for number in range(self.day.senders):
                 self._push(self.outage_ns, _Kind.LISTING, number, None)
@@ -244,6 +252,8 @@
 
     def _handle(self, now: int, kind: _Kind, number: int, data: object) -> None:
         sender = self.senders[number]
+        if sender.is_down and kind in (_Kind.ARRIVAL, _Kind.LISTING):
+            return  # clients go to other senders, and a start begins with the list
         match kind:
             case _Kind.ARRIVAL:
                 message = f"{number}-{now}"
@@ -259,8 +269,13 @@
                 self._complete(now, call, outcome)
             case _Kind.LISTING:
                 self._drive(now, number, [self._listing(now)])
-            case _Kind.RESTART:
-                self._restart(now, number)
+            case _Kind.KILL:
+                sender.is_down = True
+                sender.incarnation += 1
+                sender.calls.clear()
+            case _Kind.START:
+                sender.is_down = False
+                self._start_again(now, number)
 
     def _listing(self, now: int) -> api.EndpointsUpdated:
         if self.day.fault is Fault.REPLACE and self.outage_ns <= now < self.return_ns:
@@ -271,12 +286,10 @@
         )
         return api.EndpointsUpdated(api.UpdateScope.SNAPSHOT, rows)
 
-    def _restart(self, now: int, number: int) -> None:
-        """Replace a sender by a new one that recovers the state in the journal."""
+    def _start_again(self, now: int, number: int) -> None:
+        """Start a new sender in place of one that was killed; it recovers the state in the journal."""
         sender = self.senders[number]
-        sender.incarnation += 1
         sender.scheduler = Scheduler(self.settings, self.seed * 1_000 + number + 500_000)
-        sender.calls.clear()
         events: list[api.Event] = [self._listing(now)]
         if sender.recorded is not None:
             record = sender.recorded
@@ -422,7 +435,7 @@
     rng = random.Random(seed)
     senders = rng.choice((3, 4, 8, 20, 50, 100, 200))
     offered_per_s = rng.choice((20, 60, 120))
-    return FleetDay(
+    day = FleetDay(
         senders,
         min(20.0, max(0.1, offered_per_s / senders)),
         uneven=rng.random() < 0.5,
@@ -436,3 +449,5 @@
         chance_failures=rng.choice((0, 0.01)),
         late_calls=rng.choice((0, 0.01)),
     )
+    # Drawn last: a seed keeps what it has drawn before.
+    return replace(day, down_seconds=min(rng.choice((0, 0.6, 3, 6)), day.outage_seconds))
--- a/tests/test_scheduling_slow_start_fleet.py
+++ b/tests/test_scheduling_slow_start_fleet.py
@@ -101,6 +101,38 @@
         assert result.broken_at_s is None, (seed, result)
 
 
+# Guards against restarts that forget an outage as it began longer than `cold_ns` ago (review, case 10): two
+# of three senders that came back with the destination sent it all they held at once.
+@pytest.mark.parametrize("fault", [Fault.HANG, Fault.REFUSE])
+@pytest.mark.parametrize(
+    ("senders", "calls_per_s", "outage_seconds", "down_seconds"),
+    [
+        (3, 1.75, 18.9, 3.0),
+        (3, 1.75, 18.9, 6.7),
+        (4, 10.0, 25.0, 0.6),
+        (30, 2.0, 30.0, 6.0),
+        (200, 0.5, 18.9, 3.0),
+    ],
+)
+def test_fleet_with_senders_that_restart_at_the_end_of_a_long_outage_stays_within_its_budget(
+    senders: int, calls_per_s: float, outage_seconds: float, down_seconds: float, fault: Fault
+):
+    day = FleetDay(
+        senders,
+        calls_per_s,
+        fault=fault,
+        outage_seconds=outage_seconds,
+        restarts=0.7,
+        down_seconds=down_seconds,
+        headroom=1.3,
+        cool_down_seconds=FIRST_SECONDS,
+    )
+    for seed in (1, 2):
+        result = play_fleet(day, seed)
+        assert result.broken_at_s is None, (seed, result)
+        assert result.first_calls >= MIN_CALLS_PER_MESSAGE * result.first_offered, (seed, result)
+
+
 # Guards against a restarted sender that has seen only rejections, and treats them as a rate limit's.
 def test_fleet_with_restarts_in_an_outage_of_rejections_sends_what_comes_where_no_rate_is_listed():
     day = FleetDay(
--- a/winchspan/scheduling/slow_start.py
+++ b/winchspan/scheduling/slow_start.py
@@ -210,7 +210,7 @@
         if sent_ns < state.failing_until_ns and not was_overdue:
             return  # sent before the last failure: no evidence about the time since then
         if self._is_transient(state, sent_ns, now, was_overdue=was_overdue):
-            self._end_suspicion(state, now)
+            self._dismiss_failures(capacity, now)
             if state.return_ns is None:
                 self._count_delivery(state, now)
             return
@@ -219,7 +219,7 @@
         elif state.return_ns is None:  # all senders may have got responses at once: spread over the interval
             self._begin_slow_start(capacity, now, self._rng.random(), now)
         else:  # the capacity is slow; this is not another outage
-            self._end_suspicion(state, now)
+            self._dismiss_failures(capacity, now)
 
     def record_call(self, capacity: Capacity, message_count: int, now: int) -> None:
         """Set the time of the next call after one that is sent now."""
@@ -258,9 +258,14 @@
         self._record(capacity, SlowStartPhase.SLOW_START, now)
 
     def restore(self, capacity: Capacity, recovered: SlowStartRecovered, now: int) -> None:
-        """Restore the state of the previous incarnation, so that a restart does not lose it."""
+        """Restore the state of the previous incarnation, so that a restart does not lose it.
+
+        A slow start ends after `cold_ns`. An outage ends with a delivery only, however long ago it began: the
+        capacity may return at the moment of the restart.
+        """
         state, settings = capacity.slow_start, self.settings
-        if recovered.phase is SlowStartPhase.HEALTHY or recovered.elapsed_ns >= settings.cold_ns:
+        is_warm = recovered.phase is SlowStartPhase.SLOW_START and recovered.elapsed_ns >= settings.cold_ns
+        if recovered.phase is SlowStartPhase.HEALTHY or is_warm:
             return
         state.demand.delivered.set_rate(recovered.calls_per_s / SECOND, settings.cold_ns, now)
         if recovered.phase is SlowStartPhase.OUTAGE:
@@ -269,7 +274,7 @@
             state.failure_kind = FailureKind.SILENT
             state.failure_count = OUTAGE_UNANSWERED_CALLS
             state.failing_since_ns = now - recovered.elapsed_ns
-            state.failing_until_ns = now  # no evidence exists for the time since it was recorded
+            state.failing_until_ns = now  # it may have lasted until now
         else:
             returned_ns = now - recovered.elapsed_ns
             self._set_slow_start(state, returned_ns, returned_ns)
@@ -392,6 +397,19 @@
         state.next_call_ns = 0 if state.return_ns is None else state.next_call_ns
         state.demand.delivered.skip_to(now)
 
+    def _dismiss_failures(self, capacity: Capacity, now: int) -> None:
+        """End the suspicion without a slow start of its own, and an outage that the journal may hold."""
+        state = capacity.slow_start
+        was_outage = state.is_outage
+        self._end_suspicion(state, now)
+        if not was_outage:
+            return
+        if state.return_ns is None:
+            self._record(capacity, SlowStartPhase.HEALTHY, now)
+        else:
+            latest_return_ns = state.slow_start_end_ns - self.settings.cold_ns
+            self._record(capacity, SlowStartPhase.SLOW_START, latest_return_ns)
+
     def _begin_slow_start(self, capacity: Capacity, served_ns: int, calls: float, now: int) -> None:
         """Begin the slow start; the next call waits until the budget allows `calls` calls after `served_ns`.
 
