A message is accepted only if all of its records fit into its replicas, too

What a record grows by was reserved nowhere.

Change: the owner counts what the replica must hold until each message ends, before it answers.

Replicas keep their divided quota over a restart.

--- a/tests/test_replica_store.py
+++ b/tests/test_replica_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 from pathlib import Path
 
 import pytest
@@ -11,10 +12,11 @@
 from winchspan.replication.replica_set import AppendRecords, PersistEpoch, ReplaceRecords
 from winchspan.replication.replica_store import InvalidRecordsError, Replica, ReplicaStore
 from winchspan.runtime.system import Disk
+from winchspan.storage.errors import JournalFullError
 from winchspan.storage.journal import Journal
 from winchspan.storage.journal_records import MessageAccepted
 from winchspan.storage.message_log import MessageLog
-from winchspan.storage.record_file import encode_record, file_header
+from winchspan.storage.record_file import encode_record, file_header, iterate_records
 
 LIMIT = 1 << 20
 
@@ -192,3 +194,94 @@
     assert not (tmp_path / "replicas" / "n1").exists() and reopened.replica("n1") is None
     assert os.listdir(tmp_path / "replicas" / "n2")
     reopened.close()
+
+
+class ReplicatedOwner:
+    """An owner's journal whose records are appended to a replica with a quota of its own."""
+
+    def __init__(self, tmp_path: Path, replica_limit_bytes: int) -> None:
+        for name in ("journal", "copy"):
+            (tmp_path / name).mkdir()
+        self.journal = OwnerJournal(tmp_path / "journal")
+        self.journal.limit_to_replicas(replica_limit_bytes)
+        self.replica = Replica(tmp_path / "copy", replica_limit_bytes, Disk())
+        assert self.replica.replace(1, 0, ())
+
+    def replicate(self) -> bool:
+        """Append all new records to the replica; return False if there is no capacity."""
+        data = b"".join(self.journal.written)
+        self.journal.written.clear()
+        items = []
+        for _, _, size_bytes in iterate_records(data):
+            items.append(data[:size_bytes])
+            data = data[size_bytes:]
+        return all(self.replica.append(1, self.replica.last_index + 1, (item,)) for item in items)
+
+
+# Guards against a replica that new messages fill to the last byte: no record by which one of them ends could
+# be added then, no message of the fleet ended any more, and no compaction freed a byte (review, case 6).
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("body_bytes", [0, 200, 8_192, 40_000])
+def test_replica_has_capacity_for_all_records_until_each_accepted_message_ends(
+    tmp_path: Path, body_bytes: int, seed: int
+):
+    rng = random.Random(seed)
+    owner = ReplicatedOwner(tmp_path, 200_000)
+    numbers: list[int] = []
+    accepted_count = 0
+    for step in range(1_500):
+        try:
+            numbers.append(owner.journal.accept_one(step, rng.randbytes(body_bytes)))
+            accepted_count += 1
+        except JournalFullError:
+            batch = rng.sample(numbers, min(len(numbers), rng.randint(1, 10)))
+            assert owner.journal.record_attempt_started(batch, "s-1" * 8, "zone-a", 1e12 + step)
+            owner.journal.record_attempt_ended(batch, may_have_executed=rng.random() < 0.5)
+        assert owner.replicate(), step
+        if numbers and rng.random() < 0.1:
+            ended = numbers.pop(rng.randrange(len(numbers)))
+            owner.journal.record_notification_pending(ended, "returned", 500, {"tries": ["x" * 300]})
+            owner.journal.record_completed([ended])
+            assert owner.replicate(), step
+    for number in numbers:
+        assert owner.journal.record_attempt_started([number], "s-1" * 8, "zone-a", 2e12)
+        owner.journal.record_notification_pending(number, "failed", 0)
+        assert owner.replicate()
+    owner.journal.record_completed(numbers)
+    assert owner.replicate() and not owner.replica.open_messages
+    assert accepted_count > 4
+
+
+# Guards against a replica that an earlier version has filled: a snapshot of its owner had no room beside it.
+def test_replica_that_is_full_takes_a_snapshot_and_keeps_its_promise(tmp_path: Path, owner: OwnerJournal):
+    (tmp_path / "replica").mkdir()
+    replica = Replica(tmp_path / "replica", 100_000, Disk())
+    assert replica.replace(3, 0, ()) and replica.persist_epoch(4)
+    index = 0
+    while not replica.is_out_of_capacity:
+        owner.accept_one(index, b"x" * 2_000)
+        index += replica.append(3, index + 1, (owner.message_records()[-1],))
+    kept = owner.message_records()[-5:]
+    assert not replica.replace(4, index, owner.message_records() * 2)
+    assert (replica.epoch, replica.last_index) == (3, index), "it does not fit: nothing is discarded"
+    assert replica.replace(4, index, kept)
+    assert len(replica.open_messages) == len(kept) and replica.promised_epoch == 4
+    assert sum(path.stat().st_size for path in (tmp_path / "replica").iterdir()) <= 100_000
+    replica.close_without_flush()
+    reopened = Replica(tmp_path / "replica", 100_000, Disk())
+    assert (reopened.epoch, reopened.last_index, reopened.promised_epoch) == (4, index, 4)
+
+
+# Guards against replicas that each have the quota of all of them after a restart.
+def test_replica_store_after_restart_divides_its_quota_among_the_owners(tmp_path: Path, owner: OwnerJournal):
+    store = ReplicaStore(tmp_path / "replicas", 100_000, Disk(), 2)
+    assert store.persist(ReplaceRecords("n0", 1, 0, ()))
+    store.close()
+    reopened = ReplicaStore(tmp_path / "replicas", 100_000, Disk(), 2)
+    index = 0
+    while index < 100:
+        owner.accept_one(index, b"x" * 2_000)
+        if not reopened.persist(AppendRecords("n0", 1, index + 1, (owner.message_records()[-1],))):
+            break
+        index += 1
+    assert 15 < index < 25
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -5,7 +5,7 @@
 import random
 import re
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -370,3 +370,48 @@
     monkeypatch.setattr("winchspan.fakes.courier_failures.inject_failure_round", restart_without_data)
     report = simulate_failures(FailureScenario(tmp_path, 3, 4, 1))
     assert report.audit.violations == {} and report.taken_over_count > 0
+
+
+def play_with_replicas_near_their_quota(
+    directory: Path, seed: int, failure: Callable[[EmulatedFleet], None]
+) -> dict[str, list[str]]:
+    """Return the violations when calls take long, so that messages fill the replicas; with a failure."""
+    fleet = make_emulated_fleet(directory, 3, seed, "(copies 1) (copies-mb 0.1)")
+    try:
+        fleet.endpoints.service_seconds = 0.2
+        fleet.start()
+        fleet.wait_until(
+            "all accept messages",
+            lambda: all(member.metrics().get("fleet.copies.mine") for member in fleet.members.values()),
+        )
+        fleet.run(3.0)
+        load = ClientLoad(fleet.ports, 60.0, DESTINATION_COUNT, fleet.now, seed)
+        clients = fleet.loop.create_task(load.run())
+        fleet.run(2.0)
+        fleet.endpoints.service_seconds = 8.0
+        fleet.run(8.0)
+        failure(fleet)
+        fleet.run(7.0)
+        fleet.endpoints.service_seconds = 0.2
+        fleet.run(5.0)
+        load.stop()
+        fleet.wait_until("all clients have ended", clients.done)
+        fleet.run(30.0)
+        assert len(load.accepted) > 200
+        return audit_deliveries(fleet.endpoints, load).violations
+    finally:
+        fleet.close()
+
+
+def kill_for_good(fleet: EmulatedFleet) -> None:
+    fleet.execute_action("kill", "n1")
+
+
+# Guards against replicas that messages fill until no record of their ends fits (review, case 6), and against
+# a takeover that has no room at its successor at first: it skipped the messages when it was tried again.
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("failure", [lambda fleet: None, kill_for_good], ids=["all stay", "one is lost"])
+def test_fleet_with_replicas_near_their_quota_ends_every_message(
+    tmp_path: Path, seed: int, failure: Callable[[EmulatedFleet], None]
+):
+    assert play_with_replicas_near_their_quota(tmp_path, seed, failure) == {}
--- a/winchspan/cluster/replica_holder.py
+++ b/winchspan/cluster/replica_holder.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import Final
 
 from loguru import logger
 
 from winchspan.cluster.message_bus import MessageBus
-from winchspan.replication.messages import ReplicateRecords, SnapshotChunk
-from winchspan.replication.replica_set import PersistEpoch, ReplicaProgress, ReplicaSet, Reply
+from winchspan.replication.messages import ReplicaBehind, ReplicateRecords, SnapshotChunk
+from winchspan.replication.replica_set import (
+    AppendRecords,
+    PersistEpoch,
+    ReplaceRecords,
+    ReplicaProgress,
+    ReplicaSet,
+    Reply,
+)
 from winchspan.replication.replica_store import InvalidRecordsError, ReplicaStore
 
+NO_RECORDS: Final = -1  # the last index that a replica reports if it needs a snapshot
+
 
 class ReplicaHolder:
     """Writes journal records of other couriers to replicas, and acknowledges them once they are on disk.
@@ -54,8 +64,6 @@
             if isinstance(action, Reply):
                 self._bus.send(sender, action.message)
                 continue
-            replica = self.store.replica(message.owner)
-            epoch, last_record = (replica.epoch, replica.last_index) if replica is not None else (0, 0)
             try:
                 is_written = self.store.persist(action)
             except InvalidRecordsError as err:
@@ -63,9 +71,26 @@
                 is_written = False
             if not is_written:
                 if not isinstance(action, PersistEpoch):
-                    self.replicas.reset_progress(message.owner, epoch, last_record)
+                    self._reset_progress(message.owner)
+                    self._request_snapshot_if_full(sender, action)
                 return  # without a reply the owner chooses another replica node
 
+    def _reset_progress(self, owner: str) -> None:
+        """Reset the progress of a replica to what is on disk."""
+        replica = self.store.replica(owner)
+        epoch, last_index = (replica.epoch, replica.last_index) if replica is not None else (0, 0)
+        self.replicas.reset_progress(owner, epoch, last_index)
+
+    def _request_snapshot_if_full(self, sender: str, action: AppendRecords | ReplaceRecords) -> None:
+        """Request a snapshot in place of records for which the quota has no capacity left.
+
+        A snapshot needs no capacity beside the present records. Without it, no record could be added any
+        more, and no message could end.
+        """
+        replica = self.store.replica(action.owner)
+        if isinstance(action, AppendRecords) and replica is not None and replica.is_out_of_capacity:
+            self._bus.send(sender, ReplicaBehind(action.owner, action.epoch, NO_RECORDS))
+
     def promise(self, owner: str, epoch: int) -> bool:
         """Promise to accept no older epoch of a journal; return False if the promise is not on disk."""
         actions, _ = self.replicas.promise_epoch(owner, epoch)
--- a/winchspan/cluster/replication_service.py
+++ b/winchspan/cluster/replication_service.py
@@ -27,7 +27,7 @@
 from winchspan.replication.claims import lock_keys_of
 from winchspan.replication.messages import ReplicateRecords, SnapshotChunk
 from winchspan.replication.placement import is_taken_over, is_takeover_incomplete
-from winchspan.replication.replica_store import ReplicaStore
+from winchspan.replication.replica_store import ReplicaStore, replica_limit_bytes
 from winchspan.storage.journal_records import JournalEntry
 
 POLL_INTERVAL_MS: Final = 50.0  # between two checks of leases, replicas and unanswered requests
@@ -82,8 +82,9 @@
 
     def _open_replicas(self, options: ReplicationOptions) -> ReplicaHolder:
         directory = self._node.state_directory / REPLICA_DIRECTORY
-        store = ReplicaStore(directory, options.capacity_bytes, self._node.system.disk)
-        store.max_owner_count = max(1, len(self._bus.other_members()))
+        owner_count = len(self._bus.other_members())
+        store = ReplicaStore(directory, options.capacity_bytes, self._node.system.disk, owner_count)
+        self._delivery.journal.limit_to_replicas(replica_limit_bytes(options.capacity_bytes, owner_count))
         return ReplicaHolder(self._bus, store)
 
     def _create_takeover_service(self) -> TakeoverService:
@@ -161,7 +162,8 @@
     # ---- the engine's replication port -------------------------------------------------------------------
     def admission_delay_ms(self) -> float:
         """Return the delay in ms after which a message may be retried; 0 if it may be admitted now."""
-        if self._hand_over.is_started or not self._stream.may_admit():
+        is_full = self._takeovers.needs_capacity
+        if is_full or self._hand_over.is_started or not self._stream.may_admit():
             self._counters.rejected += 1
             return RETRY_AFTER_MS
         return 0.0
--- a/winchspan/cluster/takeover_service.py
+++ b/winchspan/cluster/takeover_service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from loguru import logger
@@ -16,6 +16,7 @@
 from winchspan.cluster.replica_holder import ReplicaHolder
 from winchspan.cluster.replication_counters import ReplicationCounters
 from winchspan.delivery.engine import DeliveryEngine
+from winchspan.delivery.messages import STATE_FAILED, STATE_RETURNED
 from winchspan.leases.commands import JOURNAL_ROLE_PREFIX, TakeoverCompleted, journal_role
 from winchspan.replication.placement import is_takeover_incomplete
 from winchspan.storage.journal_records import JournalEntry
@@ -36,6 +37,7 @@
         promised_by: members that have promised the epoch.
         entries: open messages that are written to this courier's journal.
         offline_endpoints: endpoints that an operator had taken offline at the owner.
+        is_delayed: whether this courier's journal has had no capacity for the entries.
         is_journaled: whether all entries are in this courier's journal.
         is_replicated: whether all entries are replicated, too.
     """
@@ -46,6 +48,7 @@
     promised_by: set[str] = field(default_factory=set)
     entries: list[JournalEntry] = field(default_factory=list)
     offline_endpoints: list[str] = field(default_factory=list)
+    is_delayed: bool = False
     is_journaled: bool = False
     is_replicated: bool = False
 
@@ -98,6 +101,11 @@
         self._bus.subscribe(EpochPromiseRequested, self._on_promise_requested)
         self._bus.subscribe(EpochPromised, self._on_promised)
 
+    @property
+    def needs_capacity(self) -> bool:
+        """Whether a takeover waits for capacity in this courier's journal."""
+        return any(each.is_delayed and not each.is_journaled for each in self._takeovers.values())
+
     def attach_engine(self, engine: DeliveryEngine) -> None:
         """Set the engine that resumes the messages taken over."""
         self._engine = engine
@@ -155,15 +163,23 @@
         return {name for name in nodes if name in live}
 
     def _journal_entries(self, owner: str, takeover: Takeover) -> bool:
-        """Write all open messages of a replica to this journal; return False if its capacity is exceeded."""
+        """Write all open messages of a replica to this journal; return False if its capacity is exceeded.
+
+        A message for which there is no capacity is completed: its final answer needs no body.
+        """
+        journal = self._delivery.journal
         store = self._ports.holder.store
-        for entry in store.open_messages(owner):
-            if entry.redelivery_of or is_takeover_incomplete(entry.origin, self._leases.table):
+        for replica_entry in store.open_messages(owner):
+            origin = replica_entry.origin
+            if replica_entry.redelivery_of or is_takeover_incomplete(origin, self._leases.table):
                 continue  # the owner's archive stores it, or the owner never owned it
-            number = self._delivery.journal.take_over(entry, owner, takeover.epoch)
+            entry = replace(replica_entry)  # the replica's own stays as it is, for another attempt
+            number = journal.take_over(entry, owner, takeover.epoch)
             if number is None:
-                logger.error("takeover: no capacity for the messages of {}", owner)
-                self._discard_entries(takeover)
+                outcome = STATE_FAILED if _may_have_run(entry) else STATE_RETURNED
+                number = journal.take_over_completed(entry, owner, takeover.epoch, outcome)
+            if number is None:
+                self._delay(owner, takeover)
                 return False
             takeover.entries.append(entry)
         replica = store.replica(owner)
@@ -172,6 +188,13 @@
         self._ports.when_replicated(lambda: _mark_replicated(takeover), lambda: None)
         return True
 
+    def _delay(self, owner: str, takeover: Takeover) -> None:
+        """Retry a takeover for which there is no capacity; no new message is admitted until then."""
+        if not takeover.is_delayed:
+            logger.error("takeover: no capacity for the messages of {} yet", owner)
+        takeover.is_delayed = True
+        self._discard_entries(takeover)
+
     def _discard_entries(self, takeover: Takeover) -> None:
         """Complete the entries of a takeover that is not in force."""
         self.is_discarding = True
@@ -183,10 +206,7 @@
         """Resume the messages of a journal whose takeover by this courier is committed."""
         del self._takeovers[owner]
         entries = takeover.entries
-        executed_count = sum(
-            entry.in_flight_since_ms is not None or entry.first_executed_at_ms is not None
-            for entry in entries
-        )
+        executed_count = sum(map(_may_have_run, entries))
         logger.info(
             "takeover: completed, {} messages of {}, {} of which may have run",
             len(entries),
@@ -225,5 +245,9 @@
             takeover.promised_by.add(sender)
 
 
+def _may_have_run(entry: JournalEntry) -> bool:
+    return entry.in_flight_since_ms is not None or entry.first_executed_at_ms is not None
+
+
 def _mark_replicated(takeover: Takeover) -> None:
     takeover.is_replicated = True
--- a/winchspan/replication/replica_store.py
+++ b/winchspan/replication/replica_store.py
@@ -85,6 +85,7 @@
         self._epoch = 0
         self._last_index = 0
         self._promised_epoch = 0
+        self._name = directory.name
         super().__init__(directory, limit_bytes, disk)
 
     @property
@@ -127,27 +128,39 @@
             items: records of the snapshot.
 
         Returns:
-            Whether the snapshot is on disk; the replica is unchanged if there is no capacity.
+            Whether the snapshot is on disk. If there is capacity for it but not beside the present records,
+            these are discarded first; if there is none, the replica is unchanged.
 
         Raises:
             InvalidRecordsError: not all items are valid records of an owner.
         """
         parsed = parse_records(items)
-        previous_state = self._state
-        previous_epoch = self._epoch
-        previous_index = self._last_index
-        self._state = replace(
-            previous_state, messages={}, live_bytes=0, class_tables={}, disabled_endpoints=[]
-        )
+        if self._write_contents(parsed, epoch, last_index):
+            return True
+        if sum(map(len, items)) > self._quota.usable_bytes or not self._discard_records():
+            return False
+        return self._write_contents(parsed, epoch, last_index)
+
+    def _write_contents(
+        self, parsed: list[tuple[dict[str, Any], Record]], epoch: int, last_index: int, **compaction: bool
+    ) -> bool:
+        """Write a file with other records; return False, and change nothing, if it cannot be written."""
+        previous = (self._state, self._epoch, self._last_index)
+        self._state = replace(self._state, messages={}, live_bytes=0, class_tables={}, disabled_endpoints=[])
         self._apply_all(parsed)
         self._epoch = epoch
         self._last_index = last_index
-        if not self._compact(allow_growth=True):
-            self._state = previous_state
-            self._epoch = previous_epoch
-            self._last_index = previous_index
-            return False
-        return True
+        if self._compact(allow_growth=True, **compaction):
+            return True
+        self._state, self._epoch, self._last_index = previous
+        return False
+
+    def _discard_records(self) -> bool:
+        """Keep only the promise: the owner, which still has all records, sends a snapshot of them."""
+        is_discarded = self._write_contents([], 0, 0, may_use_margin=True)
+        if is_discarded:
+            logger.warning("replicas: discarded the records of {}, as their quota is used up", self._name)
+        return is_discarded
 
     def persist_epoch(self, epoch: int) -> bool:
         """Persist the promise to reject earlier epochs; return False if there is no capacity."""
@@ -186,6 +199,11 @@
     return encode_record({"t": "promise", "e": epoch})
 
 
+def replica_limit_bytes(store_limit_bytes: int, owner_count: int) -> int:
+    """Return the size limit of one replica in a store for the replicas of some owners."""
+    return store_limit_bytes // max(1, owner_count)
+
+
 class ReplicaStore:
     """All replicas of a courier, each in a subdirectory named after its owner.
 
@@ -193,13 +211,14 @@
         max_owner_count: greatest number of owners whose replicas the courier holds at the same time.
     """
 
-    def __init__(self, directory: Path, limit_bytes: int, disk: Disk) -> None:
+    def __init__(self, directory: Path, limit_bytes: int, disk: Disk, max_owner_count: int = 1) -> None:
         """Open the existing replicas.
 
         Args:
             directory: parent directory of all replicas; it is created if it does not exist.
             limit_bytes: limit of the total size of all replicas, divided equally by `max_owner_count`.
             disk: system calls that change files.
+            max_owner_count: greatest number of owners whose replicas the courier holds at the same time.
 
         Raises:
             OSError: the directory or a file cannot be opened.
@@ -208,7 +227,7 @@
         self._limit_bytes = limit_bytes
         self._disk = disk
         self._replicas: dict[str, Replica] = {}
-        self.max_owner_count = 1
+        self.max_owner_count = max(1, max_owner_count)
         directory.mkdir(exist_ok=True)
         for path in sorted(directory.iterdir()):
             if path.is_dir() and _OWNER_NAME.fullmatch(path.name):
@@ -281,4 +300,4 @@
     def _open(self, owner: str) -> Replica:
         path = self._directory / owner
         path.mkdir(exist_ok=True)
-        return Replica(path, self._limit_bytes // max(1, self.max_owner_count), self._disk)
+        return Replica(path, replica_limit_bytes(self._limit_bytes, self.max_owner_count), self._disk)
--- a/winchspan/storage/journal.py
+++ b/winchspan/storage/journal.py
@@ -38,7 +38,9 @@
     WorkEpochStarted,
     WorkOrigin,
 )
+from winchspan.storage.journal_state import MAX_MESSAGE_GROWTH_BYTES
 from winchspan.storage.message_log import MessageLog
+from winchspan.storage.quota import StorageQuota
 
 _MIN_LOGGED_CLOCK_STEP_MS: Final = 1_000.0
 
@@ -49,8 +51,17 @@
     def __init__(self, directory: Path, limit_bytes: int, disk: Disk | None = None) -> None:
         # Called with each message that is completed, before it is removed.
         self.on_message_completed: Callable[[JournalEntry], None] | None = None
+        self._replica_quota: StorageQuota | None = None
         super().__init__(directory, limit_bytes, disk)
 
+    def limit_to_replicas(self, replica_limit_bytes: int) -> None:
+        """Accept only messages whose records fit into a replica as well, until they are completed.
+
+        Args:
+            replica_limit_bytes: size limit of this journal's replica on another courier.
+        """
+        self._replica_quota = StorageQuota(replica_limit_bytes)
+
     @property
     def last_attempt_at_ms(self) -> float:
         """Start of the latest attempt, in Unix ms; 0 if none is known."""
@@ -139,11 +150,36 @@
         Returns:
             Its number here, or None if there is no capacity for it.
         """
+        self._prepare_taken_over(entry, owner, epoch)
+        return entry.number if self._add(entry) else None
+
+    def take_over_completed(self, entry: JournalEntry, owner: str, epoch: int, outcome: str) -> int | None:
+        """Record the final answer of another courier's open message, for which there is no capacity here.
+
+        Args:
+            entry: the message's entry in the replica; it becomes an entry of this journal, without its body.
+            owner: the courier that it is taken over from.
+            epoch: the epoch of the takeover.
+            outcome: the outcome to notify the platform of.
+
+        Returns:
+            Its number here, or None if there is no capacity for that either.
+        """
+        entry.body = b""
+        entry.pending_notification = entry.pending_notification or outcome
+        self._prepare_taken_over(entry, owner, epoch)
+        data = MessageAccepted(entry).encode()
+        committed_bytes = self._state.committed_bytes
+        quotas = self._quotas()
+        if not all(quota.accepts_completed_message(committed_bytes, len(data)) for quota in quotas):
+            return None
+        return entry.number if self._append_message(entry, data) else None
+
+    def _prepare_taken_over(self, entry: JournalEntry, owner: str, epoch: int) -> None:
         entry.number = self._state.next_number
         entry.origin = WorkOrigin(owner, epoch)
         entry.size_bytes = 0
         entry.class_table = self._state.current_class_table
-        return entry.number if self._add(entry) else None
 
     def record_attempt_started(self, numbers: list[int], endpoint: str, zone: str, at_ms: float) -> bool:
         """Record an attempt that carries some messages, before its first byte is sent.
@@ -173,7 +209,11 @@
     ) -> None:
         """Record the outcome to notify the platform of, with the history if there is capacity for it."""
         record = NotificationPending(number, outcome, retry_after_ms, failure_history)
-        if failure_history is None or not self._append(record.encode()):
+        is_recorded = False
+        if failure_history is not None:
+            data = record.encode()
+            is_recorded = self._has_capacity(len(data)) and self._append(data)
+        if not is_recorded:
             record = NotificationPending(number, outcome, retry_after_ms)
             self._append_or_defer(record.encode())
         self._state.set_pending_notification(record)
@@ -232,10 +272,22 @@
         records += [MessageAccepted(entry) for entry in state.ordered_messages()]
         return [record.encode() for record in records]
 
+    def _has_capacity(self, added_bytes: int) -> bool:
+        """Return whether records fit, here and in each replica, beside all that must still follow."""
+        committed_bytes = self._state.committed_bytes
+        return all(quota.accepts_message(committed_bytes, added_bytes) for quota in self._quotas())
+
+    def _quotas(self) -> list[StorageQuota]:
+        return [self._quota] if self._replica_quota is None else [self._quota, self._replica_quota]
+
     def _add(self, entry: JournalEntry) -> bool:
         data = MessageAccepted(entry).encode()
-        if not self._quota.accepts_message(self._state.live_bytes, len(data)):
+        if not self._has_capacity(len(data) + MAX_MESSAGE_GROWTH_BYTES):
             return False
+        return self._append_message(entry, data)
+
+    def _append_message(self, entry: JournalEntry, data: bytes) -> bool:
+        """Append an open message's record; return False if it cannot be written."""
         if not self._append(data):
             return False
         self._state.add_message(entry, len(data))
--- a/winchspan/storage/journal_state.py
+++ b/winchspan/storage/journal_state.py
@@ -26,6 +26,9 @@
 _ATTEMPT_KEYS_BYTES: Final = 120
 _NOTIFICATION_KEYS_BYTES: Final = 60
 _HISTORY_KEY_BYTES: Final = 10
+_MAX_ZONE_BYTES: Final = 64  # of the zone's name, once for each of an attempt's two keys
+# Upper bound on what a message's record grows by until the message is completed, without a failure history.
+MAX_MESSAGE_GROWTH_BYTES: Final = _ATTEMPT_KEYS_BYTES + 2 * _MAX_ZONE_BYTES + _NOTIFICATION_KEYS_BYTES
 MAX_OUTAGES: Final = 256  # maximum number of destinations with a stored outage
 _HEALTHY: Final = "healthy"
 
@@ -89,6 +92,11 @@
         while len(self.outages) > MAX_OUTAGES:
             del self.outages[next(iter(self.outages))]
 
+    @property
+    def committed_bytes(self) -> int:
+        """Upper bound on the size of a compacted file until the last open message is completed."""
+        return self.live_bytes + len(self.messages) * MAX_MESSAGE_GROWTH_BYTES
+
     def add_message(self, entry: JournalEntry, record_bytes: int) -> None:
         """Add an open message whose record has a size of `record_bytes`."""
         self.messages[entry.number] = entry
--- a/winchspan/storage/message_log.py
+++ b/winchspan/storage/message_log.py
@@ -47,6 +47,7 @@
         )
         self._state = JournalState()
         self._quota = StorageQuota(limit_bytes)
+        self._is_out_of_capacity = False  # the last records were rejected by the quota, not by the disk
         self._backlog: list[bytes] = []
         self._write_failure_logged = False
         self._file = RotatingRecordFile(
@@ -73,6 +74,11 @@
         """Names of the endpoints that the operators have disabled."""
         return self._state.disabled_endpoints
 
+    @property
+    def is_out_of_capacity(self) -> bool:
+        """Whether the last records were rejected because the quota is used up."""
+        return self._is_out_of_capacity
+
     def flush_backlog(self) -> bool:
         """Write the backlog; return whether it is empty now."""
         if self._backlog and self._write(b"".join(self._backlog)):
@@ -116,11 +122,12 @@
         """Encode records that a subclass appends to the open messages of a compacted file."""
         return b""
 
-    def _compact(self, *, allow_growth: bool = False) -> bool:
+    def _compact(self, *, allow_growth: bool = False, may_use_margin: bool = False) -> bool:
         """Write the open messages to the other file and remove the current one.
 
         Args:
             allow_growth: compact even if the file does not get smaller.
+            may_use_margin: let both files together use the margin below the limit, too.
 
         Returns:
             Whether the file was compacted; if not, it is unchanged.
@@ -131,7 +138,8 @@
         )
         if len(data) >= self._file.size_bytes and not allow_growth:
             return False
-        if self._file.size_bytes + len(data) > self._quota.usable_bytes:
+        limit_bytes = self._quota.limit_bytes if may_use_margin else self._quota.usable_bytes
+        if self._file.size_bytes + len(data) > limit_bytes:
             return False
         try:
             self._file.replace(data)
@@ -157,7 +165,9 @@
             self._compact()
         if self._file.size_bytes + len(data) > self._quota.usable_bytes:
             self._log_write_failure(f"no capacity for {len(data)} bytes; file size {self._file.size_bytes}")
+            self._is_out_of_capacity = True
             return False
+        self._is_out_of_capacity = False
         try:
             self._file.append(data)
         except RecordWriteError as err:
