--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -136,6 +136,7 @@
         NOW - 9.0,
         "zone-d",
     )
+    entry.class_table = found.current_class_table
     assert found.take_over(entry, "courier-b", 12) is not None
     for number in range(40):  # completed messages: the next start rewrites the file
         found.record_completed(
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,13 +6,15 @@
 import re
 import signal
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from winchspan import api
 from winchspan.cluster.journal_stream import JournalStream
 from winchspan.cluster.replication_service import ReplicationService
-from winchspan.fakes.client_load import DEPOSIT, NOTICE, PAYMENT, ClientLoad
+from winchspan.fakes.client_load import DEPOSIT, MESSAGE_CLASSES, NOTICE, PAYMENT, ClientLoad
 from winchspan.fakes.courier_failures import (
     DESTINATION_COUNT,
     FailureKind,
@@ -415,3 +417,37 @@
     tmp_path: Path, seed: int, failure: Callable[[EmulatedFleet], None]
 ):
     assert play_with_replicas_near_their_quota(tmp_path, seed, failure) == {}
+
+
+# Guards against a takeover by the classes in force at the successor: payments that may run once, whose class
+# was made repeatable, were sent again by the courier that took them over (review, case 7).
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_takeover_after_a_change_of_class_goes_by_the_class_of_the_acceptance(tmp_path: Path, seed: int):
+    fleet = make_emulated_fleet(tmp_path, 3, seed, "(copies 1)")
+    deposit = replace(MESSAGE_CLASSES[DEPOSIT], effect=api.Effect.REPEATABLE, ordered=False)
+    try:
+        fleet.endpoints.service_seconds = 9.0
+        fleet.start()
+        fleet.wait_until(
+            "all accept messages",
+            lambda: all(member.metrics().get("fleet.copies.mine") for member in fleet.members.values()),
+        )
+        fleet.run(3.0)
+        load = ClientLoad(fleet.ports, 30.0, DESTINATION_COUNT, fleet.now, seed)
+        clients = fleet.loop.create_task(load.run())
+        fleet.run(2.0)
+        load.stop()
+        fleet.wait_until("all clients have ended", clients.done)
+        for name in fleet.names:
+            fleet.change_settings(name, {"classes": {**MESSAGE_CLASSES, DEPOSIT: deposit}})
+        fleet.run(2.0)
+        fleet.execute_action("kill", "n1")
+        fleet.wait_until(
+            "another takes over its messages",
+            lambda: any(member.metrics().get("fleet.copies.taken_over") for member in fleet.members.values()),
+        )
+        fleet.run(40.0)
+        assert any(message.class_name == DEPOSIT for message in load.accepted.values())
+        assert audit_deliveries(fleet.endpoints, load).violations == {}
+    finally:
+        fleet.close()
--- a/winchspan/cluster/claim_service.py
+++ b/winchspan/cluster/claim_service.py
@@ -22,6 +22,7 @@
 from winchspan.replication.claims import TOKEN_PREFIX, Claim, ClaimTable, EarlierAttempt, lock_keys_of
 from winchspan.replication.replica_set import ReplicaSet
 from winchspan.replication.replica_store import ReplicaStore
+from winchspan.storage.accepted_class import ClassTables, accepted_class
 from winchspan.storage.journal_records import JournalEntry
 
 MAX_CLAIMS_PER_FRAME: Final = 256
@@ -60,6 +61,13 @@
     release: ReleaseCallback
 
 
+class _ClaimedLog(NamedTuple):
+    """Entries of a journal or of a replica, and the class tables that they refer to."""
+
+    entries: list[JournalEntry]
+    class_tables: ClassTables
+
+
 class ClaimService:
     """Announces this courier's claims, and queues its messages that are blocked by claims of others."""
 
@@ -209,7 +217,7 @@
             if entry.number not in self._waiting
             and entry.number not in self._claimed_entries
             and entry.origin is None
-            and tokens & set(self._lock_keys_of(entry))
+            and tokens & set(self._lock_keys_of(entry, self._delivery.journal.class_tables))
         ]
         if entries:
             self._claim_entries(ClaimedJournal(PRIORITY_PREFIX + self._node.name, 1), entries)
@@ -222,32 +230,38 @@
 
     def _claim_entries(self, journal: ClaimedJournal, entries: list[JournalEntry]) -> None:
         self._claimed_entries |= {entry.number: journal for entry in entries}
-        for message in self._build_announcements(journal, entries, is_empty_announced=True):
+        log = _ClaimedLog(entries, self._delivery.journal.class_tables)
+        for message in self._build_announcements(journal, log, is_empty_announced=True):
             self._broadcast(message)
 
+    def _replica_of(self, owner: str) -> _ClaimedLog:
+        """Return what this courier's replica of an owner's journal has."""
+        return _ClaimedLog(self._store.open_messages(owner), self._store.class_tables(owner))
+
     def _build_announcements(
-        self, journal: ClaimedJournal, entries: Iterable[JournalEntry], *, is_empty_announced: bool = False
+        self, journal: ClaimedJournal, log: _ClaimedLog, *, is_empty_announced: bool = False
     ) -> list[ClaimsAnnounced]:
         """Return the claims on entries, divided into messages of at most `MAX_CLAIMS_PER_FRAME` claims."""
-        rows = self._claim_rows(entries)
+        rows = self._claim_rows(log)
         count = max(1, len(rows)) if is_empty_announced else len(rows)
         return [
             ClaimsAnnounced(journal.owner, journal.epoch, rows[start : start + MAX_CLAIMS_PER_FRAME])
             for start in range(0, count, MAX_CLAIMS_PER_FRAME)
         ]
 
-    def _claim_rows(self, entries: Iterable[JournalEntry]) -> list[ClaimRow]:
+    def _claim_rows(self, log: _ClaimedLog) -> list[ClaimRow]:
         """Return claims on the entries that are ordered by key or not idempotent, except for redeliveries."""
         now_unix_ms = self._node.clock.persistent_unix_ms()
         rows = []
-        for entry in entries:
-            lock_keys = self._lock_keys_of(entry)
+        for entry in log.entries:
+            lock_keys = self._lock_keys_of(entry, log.class_tables)
             if lock_keys and not entry.redelivery_of:
                 rows.append(ClaimRow(entry.id, list(lock_keys), max(0.0, entry.deadline_ms - now_unix_ms)))
         return rows
 
-    def _lock_keys_of(self, entry: JournalEntry) -> tuple[bytes, ...]:
-        message_class = self._delivery.classes.get(entry.class_name)
+    def _lock_keys_of(self, entry: JournalEntry, class_tables: ClassTables) -> tuple[bytes, ...]:
+        """Return the lock keys of an entry by the class that it was accepted under."""
+        message_class = accepted_class(class_tables, entry) or self._delivery.classes.get(entry.class_name)
         if message_class is None:
             return lock_keys_of(entry.class_name, entry.key, entry.idempotency_key)
         key = entry.key if message_class.ordered else None
@@ -270,7 +284,7 @@
             ):
                 self._silent_owner_epochs[owner] = replica.epoch
                 journal = ClaimedJournal(owner, replica.epoch)
-                for message in self._build_announcements(journal, self._store.open_messages(owner)):
+                for message in self._build_announcements(journal, self._replica_of(owner)):
                     self._broadcast(message)
 
     # ---- events ------------------------------------------------------------------------------------------
@@ -290,7 +304,7 @@
             self._broadcast(ClaimCompleted(journal.owner, journal.epoch, entry.id, age_ms, zone))
 
     def _remember_attempt(self, entry: JournalEntry, attempt: FirstAttempt) -> None:
-        for lock_key in self._lock_keys_of(entry):
+        for lock_key in self._lock_keys_of(entry, self._delivery.journal.class_tables):
             if lock_key[:1] == TOKEN_PREFIX:
                 self._attempts_by_token[lock_key] = attempt
         while len(self._attempts_by_token) > MAX_TRACKED_TOKENS:
@@ -303,10 +317,12 @@
             entry = self._delivery.journal.get(number)
             if entry is not None:
                 journals.setdefault(journal, []).append(entry)
+        class_tables = self._delivery.journal.class_tables
+        logs = {journal: _ClaimedLog(entries, class_tables) for journal, entries in journals.items()}
         for owner, epoch in self._silent_owner_epochs.items():
-            journals[ClaimedJournal(owner, epoch)] = self._store.open_messages(owner)
-        for journal, entries in journals.items():
-            for message in self._build_announcements(journal, entries):
+            logs[ClaimedJournal(owner, epoch)] = self._replica_of(owner)
+        for journal, log in logs.items():
+            for message in self._build_announcements(journal, log):
                 self._bus.send(member, message)
 
     def on_owner_active(self, owner: str) -> None:
--- a/winchspan/cluster/takeover_service.py
+++ b/winchspan/cluster/takeover_service.py
@@ -167,18 +167,13 @@
 
         A message for which there is no capacity is completed: its final answer needs no body.
         """
-        journal = self._delivery.journal
         store = self._ports.holder.store
         for replica_entry in store.open_messages(owner):
             origin = replica_entry.origin
             if replica_entry.redelivery_of or is_takeover_incomplete(origin, self._leases.table):
                 continue  # the owner's archive stores it, or the owner never owned it
             entry = replace(replica_entry)  # the replica's own stays as it is, for another attempt
-            number = journal.take_over(entry, owner, takeover.epoch)
-            if number is None:
-                outcome = STATE_FAILED if _may_have_run(entry) else STATE_RETURNED
-                number = journal.take_over_completed(entry, owner, takeover.epoch, outcome)
-            if number is None:
+            if not self._journal_entry(entry, owner, takeover.epoch):
                 self._delay(owner, takeover)
                 return False
             takeover.entries.append(entry)
@@ -188,6 +183,19 @@
         self._ports.when_replicated(lambda: _mark_replicated(takeover), lambda: None)
         return True
 
+    def _journal_entry(self, entry: JournalEntry, owner: str, epoch: int) -> bool:
+        """Write an entry with the class that its owner accepted it under; return False if it does not fit."""
+        journal = self._delivery.journal
+        rows = self._ports.holder.store.class_tables(owner).get(entry.class_table)
+        class_table = journal.import_class_table(rows) if rows else journal.current_class_table
+        if class_table is None:
+            return False
+        entry.class_table = class_table
+        if journal.take_over(entry, owner, epoch) is not None:
+            return True
+        outcome = STATE_FAILED if _may_have_run(entry) else STATE_RETURNED
+        return journal.take_over_completed(entry, owner, epoch, outcome) is not None
+
     def _delay(self, owner: str, takeover: Takeover) -> None:
         """Retry a takeover for which there is no capacity; no new message is admitted until then."""
         if not takeover.is_delayed:
--- a/winchspan/replication/replica_store.py
+++ b/winchspan/replication/replica_store.py
@@ -271,6 +271,11 @@
         replica = self._replicas.get(owner)
         return replica.open_messages if replica is not None else []
 
+    def class_tables(self, owner: str) -> dict[int, list[dict[str, Any]]]:
+        """Return the tables of message classes in an owner's journal, by the number in its entries."""
+        replica = self._replicas.get(owner)
+        return replica.class_tables if replica is not None else {}
+
     def remove(self, owner: str) -> None:
         """Remove the replica of a journal that is finished or replicated elsewhere."""
         replica = self._replicas.pop(owner, None)
--- a/winchspan/simulation/cluster.py
+++ b/winchspan/simulation/cluster.py
@@ -95,10 +95,18 @@
         machine = Machine(self.network, name, drift)
         return FleetMember(machine, folder / name, self._fleet_section(number))
 
-    def _write_config(self, name: str, number: int) -> None:
+    def change_settings(self, name: str, changes: Mapping[str, Any]) -> None:
+        """Change platform settings in a member's configuration file, and have it reload them."""
+        application = self.members[name].application
+        assert application is not None, f"{name} does not run"
+        self._write_config(name, self.names.index(name), changes)
+        application.reload()
+
+    def _write_config(self, name: str, number: int, changes: Mapping[str, Any] | None = None) -> None:
         folder = self.members[name].folder
         state_directory = folder / STATE_DIRECTORY
         state_directory.mkdir(parents=True, exist_ok=True)
+        settings_changes = {**self._options.settings_changes, **(changes or {})}
         config = {
             "name": name,
             "listen": f"{LOCALHOST}:{self.ports[name]}",
@@ -107,7 +115,7 @@
             "seed": f"{number + 1:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": self.endpoints.endpoint_list(),
-            "settings": settings_to_wire(platform(len(self.names), **self._options.settings_changes)),
+            "settings": settings_to_wire(platform(len(self.names), **settings_changes)),
         }
         (folder / CONFIG_FILE).write_text(json.dumps(config))
 
--- a/winchspan/storage/journal.py
+++ b/winchspan/storage/journal.py
@@ -67,6 +67,11 @@
         """Start of the latest attempt, in Unix ms; 0 if none is known."""
         return self._state.last_attempt_at_ms
 
+    @property
+    def current_class_table(self) -> int:
+        """Number of the table of the classes that messages are accepted under now."""
+        return self._state.current_class_table
+
     @property
     def work_epoch(self) -> int:
         """The epoch under which this courier owns its journal; 0 if none is needed."""
@@ -139,11 +144,37 @@
             raise JournalFullError
         return entry.number
 
+    def import_class_table(self, rows: list[dict[str, Any]]) -> int | None:
+        """Record the classes that messages of another courier were accepted under.
+
+        Args:
+            rows: the message classes, as in a class table of that courier's journal.
+
+        Returns:
+            The number of the table here, or None if there is no capacity for it.
+        """
+        state = self._state
+        for number, known_rows in state.class_tables.items():
+            if known_rows == rows:
+                return number
+        number = max(state.class_tables, default=0) + 1
+        # The last table recorded is the current one to whoever reads the records.
+        current = ClassTableDefined(state.current_class_table, self._current_rows())
+        data = ClassTableDefined(number, rows).encode() + current.encode()
+        if not self._has_capacity(len(data)) or not self._append(data):
+            return None
+        state.class_tables[number] = rows
+        return number
+
+    def _current_rows(self) -> list[dict[str, Any]]:
+        return self._state.class_tables.get(self._state.current_class_table, [])
+
     def take_over(self, entry: JournalEntry, owner: str, epoch: int) -> int | None:
         """Record an open message that is taken over from another courier.
 
         Args:
-            entry: the message's entry in the replica; it becomes an entry of this journal.
+            entry: the message's entry in the replica, with the number that `import_class_table` has returned
+                for its class table; it becomes an entry of this journal.
             owner: the courier that it is taken over from.
             epoch: the epoch of the takeover.
 
@@ -179,7 +210,6 @@
         entry.number = self._state.next_number
         entry.origin = WorkOrigin(owner, epoch)
         entry.size_bytes = 0
-        entry.class_table = self._state.current_class_table
 
     def record_attempt_started(self, numbers: list[int], endpoint: str, zone: str, at_ms: float) -> bool:
         """Record an attempt that carries some messages, before its first byte is sent.
