Claims on messages taken over stay when their first owner is back

Cause: the successor claimed the messages under their owner's name, and the owner's later epoch, with nothing in hand, replaced these claims.

Change: they are claimed under a name of their own, OWNER@EPOCH, which no later epoch of the owner cancels. Also, as the new test found: a courier that is back and does not know of the takeover yet claimed the same messages as its own, and its discarding them ended all claims on them.

--- a/tests/test_replication_claims.py
+++ b/tests/test_replication_claims.py
@@ -16,6 +16,7 @@
     ClaimTable,
     EarlierAttempt,
     lock_keys_of,
+    taken_over_name,
 )
 
 FIRST_KEYS = lock_keys_of("pay", 7, "t1")
@@ -140,3 +141,22 @@
     assert sorted(claims.pop_unblocked()) == sorted(waiting)
     assert len(claims) == 0
     assert claims._owners_by_lock_key == {}
+
+
+# Guards against an owner's later epoch that cancels the claims of a takeover in between (review, case 9).
+def test_claims_of_a_takeover_outlast_later_epochs_of_the_owner_and_end_with_their_messages():
+    claims = ClaimTable()
+    name = taken_over_name("n1", 6)
+    claims.add_claims(0.0, "n1", 5, [Claim("a", FIRST_KEYS, 1_000.0), Claim("b", SECOND_KEYS, 1_000.0)])
+    claims.add_claims(0.0, name, 6, [Claim("a", FIRST_KEYS, 1_000.0)])
+    assert len(claims) == 2, "a message has one claim"
+    claims.release("n1", 6)
+    assert len(claims) == 1
+    claims.add_claims(0.0, "n1", 7, [])
+    claims.add_claims(0.0, "n1", 8, [Claim("c", FIRST_KEYS, 1_000.0)])
+    claims.release("n1", 8)
+    assert claims.wait_if_claimed(1, FIRST_KEYS)
+    claims.add_claims(0.0, taken_over_name("n2", 9), 9, [Claim("a", FIRST_KEYS, 1_000.0)])
+    assert len(claims) == 1, "taken over once more, from the successor"
+    claims.complete(10.0, taken_over_name("n2", 9), 9, "a", None)
+    assert claims.pop_unblocked() == [1] and len(claims) == 0
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -451,3 +451,33 @@
         assert audit_deliveries(fleet.endpoints, load).violations == {}
     finally:
         fleet.close()
+
+
+# Guards against a courier that is back and removes the claims on what others took over from it: the next
+# messages of the same keys went before them (review, case 9).
+@pytest.mark.parametrize("restart_count", [1, 2])
+def test_claims_on_messages_taken_over_stay_when_their_courier_is_back(
+    fleet: Fleet, partner: ThreadedRecordingEndpoints, restart_count: int
+):
+    partner.hold_calls("s-0")
+    ids = [submit_payment(fleet, "n1", KEY) for _ in range(2)]
+    wait_for("the first is in flight", lambda: has_started(partner, ids[0]))
+    fleet["n1"].kill()
+    wait_for_takeover(fleet, OTHERS)
+    for _ in range(restart_count):
+        fleet["n1"].kill()
+        fleet["n1"].start()
+        wait_for(
+            "n1 is its journal's owner again",
+            lambda: bool(fleet["n1"].read_metrics().get("fleet.copies.mine")),
+        )
+    ids += [submit_payment(fleet, name, KEY) for name in ("n1", "n0", "n2")]
+    wait_for(
+        "the new messages of the key wait",
+        lambda: sum(fleet[name].read_metrics().get("fleet.copies.waiting", 0) for name in NAMES) >= 3,
+    )
+    assert not any(has_started(partner, message_id) for message_id in ids[2:])
+    partner.release_calls()
+    wait_for_final_answers(partner, ids)
+    assert started_order(partner, ids)[:2] == ids[:2]
+    assert_delivered_once(partner, ids)
--- a/winchspan/cluster/claim_service.py
+++ b/winchspan/cluster/claim_service.py
@@ -19,7 +19,15 @@
     PossiblyExecuted,
 )
 from winchspan.cluster.node import ClusterNode, DeliveryResources
-from winchspan.replication.claims import TOKEN_PREFIX, Claim, ClaimTable, EarlierAttempt, lock_keys_of
+from winchspan.replication.claims import (
+    TOKEN_PREFIX,
+    Claim,
+    ClaimTable,
+    EarlierAttempt,
+    claimed_owner,
+    lock_keys_of,
+    taken_over_name,
+)
 from winchspan.replication.replica_set import ReplicaSet
 from winchspan.replication.replica_store import ReplicaStore
 from winchspan.storage.accepted_class import ClassTables, accepted_class
@@ -29,6 +37,7 @@
 # Prefix of a courier's name for claims on its own messages of a claimed token. It sorts before all names, so
 # that these messages go before those that were taken over.
 PRIORITY_PREFIX: Final = "!"
+PRIORITY_EPOCH: Final = 1  # of all claims under such a name
 # Limit of the tokens for which this courier stores an attempt that may have executed its message. The oldest
 # token is evicted first.
 MAX_TRACKED_TOKENS: Final = 1_024
@@ -115,8 +124,15 @@
         self._release_waiting()
 
     def clear(self) -> None:
-        """Drop the claims on this courier's journal, which another courier has taken over."""
+        """Drop the claims on this courier's journal, which another courier has taken over.
+
+        They end without a completion: that would end the other courier's claims on the same messages, too.
+        """
+        own_priority = ClaimedJournal(PRIORITY_PREFIX + self._node.name, PRIORITY_EPOCH)
+        has_priority_claims = own_priority in self._claimed_entries.values()
         self._claimed_entries.clear()
+        if has_priority_claims:
+            self._broadcast(ClaimsReleased(own_priority.owner, own_priority.epoch))
 
     # ---- this courier's messages -------------------------------------------------------------------------
     def release_when_unclaimed(
@@ -162,7 +178,7 @@
             if _is_within_bounds(row)
         ]
         self._claims.add_claims(self._node.now_ms(), message.owner, message.epoch, claims)
-        if not message.owner.startswith(PRIORITY_PREFIX) and message.owner != self._node.name:
+        if not message.owner.startswith(PRIORITY_PREFIX) and claimed_owner(message.owner) != self._node.name:
             self._claim_own_tokens(
                 {lock_key for claim in claims for lock_key in claim.lock_keys if lock_key[:1] == TOKEN_PREFIX}
             )
@@ -220,7 +236,7 @@
             and tokens & set(self._lock_keys_of(entry, self._delivery.journal.class_tables))
         ]
         if entries:
-            self._claim_entries(ClaimedJournal(PRIORITY_PREFIX + self._node.name, 1), entries)
+            self._claim_entries(ClaimedJournal(PRIORITY_PREFIX + self._node.name, PRIORITY_EPOCH), entries)
 
     # ---- outgoing claims ---------------------------------------------------------------------------------
     def claim(self, owner: str, epoch: int, entries: Iterable[JournalEntry]) -> None:
@@ -228,6 +244,21 @@
         self._silent_owner_epochs.pop(owner, None)
         self._claim_entries(ClaimedJournal(owner, epoch), list(entries))
 
+    def claim_taken_over(self, owner: str, epoch: int, entries: Iterable[JournalEntry]) -> None:
+        """Announce claims on entries that this courier has taken over.
+
+        They have a name of their own, with the epoch of the takeover. A later epoch of the owner cancels only
+        what was claimed for the owner's own journal: the owner no longer knows of the entries taken over.
+
+        Args:
+            owner: the courier that the entries were taken over from.
+            epoch: epoch of the takeover.
+            entries: the entries in this courier's journal.
+        """
+        self._silent_owner_epochs.pop(owner, None)
+        self._claim_entries(ClaimedJournal(taken_over_name(owner, epoch), epoch), list(entries))
+        self._broadcast(ClaimsReleased(owner, epoch))
+
     def _claim_entries(self, journal: ClaimedJournal, entries: list[JournalEntry]) -> None:
         self._claimed_entries |= {entry.number: journal for entry in entries}
         log = _ClaimedLog(entries, self._delivery.journal.class_tables)
--- a/winchspan/cluster/replication_service.py
+++ b/winchspan/cluster/replication_service.py
@@ -226,6 +226,7 @@
     def _discard_taken_over_entries(self) -> None:
         journal = self._delivery.journal
         numbers = [entry.number for entry in journal.open_messages]
+        self._claims.clear()
         journal.record_completed(numbers)
         self._counters.own_messages_taken_over += len(numbers)
         logger.warning(
--- a/winchspan/cluster/takeover_service.py
+++ b/winchspan/cluster/takeover_service.py
@@ -227,7 +227,7 @@
         self._take_endpoints_offline(owner, takeover.offline_endpoints)
         counters.messages_taken_over += len(entries)
         counters.possibly_executed += executed_count
-        self._ports.claims.claim(owner, takeover.epoch, entries)
+        self._ports.claims.claim_taken_over(owner, takeover.epoch, entries)
         self.is_discarding = True  # adopting completes entries whose message id this courier already has
         self._engine.adopt(entries)
         self.is_discarding = False
--- a/winchspan/replication/claims.py
+++ b/winchspan/replication/claims.py
@@ -27,9 +27,22 @@
 TOKEN_PREFIX: Final = b"t"  # first byte of a lock key for an idempotency token
 # After the deadline of a claimed message: its notification is sent by then (PROTOCOL, the rules).
 EXPIRY_MARGIN_MS: Final = 300.0
+TAKEOVER_SEPARATOR: Final = (
+    "@"  # between owner and epoch in the name of taken-over claims; in no owner's name
+)
 MAX_REMAINING_MS: Final = 1e9  # limit of the time to the deadline that another courier reports
 
 
+def taken_over_name(owner: str, epoch: int) -> str:
+    """Return the name for claims on messages that were taken over from an owner under an epoch."""
+    return f"{owner}{TAKEOVER_SEPARATOR}{epoch}"
+
+
+def claimed_owner(name: str) -> str:
+    """Return the courier that first owned the messages that are claimed under a name."""
+    return name.partition(TAKEOVER_SEPARATOR)[0]
+
+
 def lock_keys_of(class_name: str, ordering_key: int | None, token: str) -> tuple[bytes, ...]:
     """Return the lock keys of a message: messages that share one must not be reordered or duplicated.
 
@@ -110,7 +123,10 @@
 
     # ---- claims ------------------------------------------------------------------------------------------
     def add_claims(self, now: float, owner: str, epoch: int, claims: Iterable[Claim]) -> None:
-        """Add claims of a journal's messages; claims of a later epoch replace those of earlier epochs."""
+        """Add claims of a journal's messages; claims of a later epoch replace those of earlier epochs.
+
+        A claim under the name of a takeover replaces all others of the same message.
+        """
         journal = self._journals.get(owner)
         if journal is not None and epoch < journal.epoch:
             return
@@ -119,6 +135,8 @@
         journal = self._journals.setdefault(owner, _JournalClaims(epoch))
         capacity = MAX_CLAIMS - len(self)
         for claim in claims:
+            if TAKEOVER_SEPARATOR in owner:
+                self._remove_message(claim.message_id)
             self._remove_claim(owner, claim.message_id)
             if capacity <= 0:
                 break
@@ -175,6 +193,11 @@
             if attempt.at_ms > oldest_ms
         }
 
+    def _remove_message(self, message_id: str) -> None:
+        """Remove all claims of a message."""
+        for owner in self._journals:
+            self._remove_claim(owner, message_id)
+
     def _remove_claim(self, owner: str, message_id: str) -> tuple[bytes, ...]:
         """Remove a claim if it exists, and return its lock keys."""
         message = self._journals[owner].messages.pop(message_id, None)
