Bound the memory of client connections and incomplete requests together

Cause: limits.memory_mb was read nowhere; each request is bounded, their sum was not.

Change: the limit is read and checked, and divided among connections and incomplete requests; beyond it the requests that have been incomplete for longest get -BUSY.

--- a/tests/test_application_components.py
+++ b/tests/test_application_components.py
@@ -16,10 +16,13 @@
 from winchspan.application.capacity import (
     ADMIN_DESCRIPTOR_COUNT,
     CONSENSUS_STORE_BYTES,
+    MIN_CLIENT_CONNECTIONS,
+    MIN_RECEIVE_BUFFER_BYTES,
     OWN_DESCRIPTOR_COUNT,
     connection_capacity,
     journal_capacity_bytes,
     max_client_connections,
+    receive_buffer_bytes,
 )
 from winchspan.application.components import create_components
 from winchspan.application.discovery_gate import (
@@ -46,6 +49,8 @@
 
 ROOT = Path(__file__).parent.parent
 
+MEGABYTE = 1024 * 1024
+
 
 def test_slot_table_stale_handle_does_not_reach_reused_slot():
     table: SlotTable[str] = SlotTable()
@@ -245,8 +250,15 @@
 
 def test_max_client_connections_leaves_endpoints_their_slots(config: PlatformConfig):
     settings = replace(config.settings, slots=8)
-    assert max_client_connections(100, settings) == 88
-    assert max_client_connections(16, settings) == 8
+    assert max_client_connections(100, settings, 192 * MEGABYTE) == 88
+    assert max_client_connections(16, settings, 192 * MEGABYTE) == 8
+
+
+def test_clients_fit_into_the_memory_limit(config: PlatformConfig):
+    assert max_client_connections(1_000, config.settings, 64 * MEGABYTE) > 900
+    assert max_client_connections(1_000, config.settings, 8 * MEGABYTE) == MIN_CLIENT_CONNECTIONS
+    assert receive_buffer_bytes(64 * MEGABYTE) == 8 * MEGABYTE
+    assert receive_buffer_bytes(8 * MEGABYTE) == MIN_RECEIVE_BUFFER_BYTES
 
 
 class FakeWatch:
--- /dev/null
+++ b/tests/test_client_behaviour_processes.py
@@ -0,0 +1,104 @@
+"""Clients that press on a courier's memory and time, on a real process."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from winchspan.fakes.courier_process import HOST, CourierProcess
+from winchspan.fakes.ports import free_ports
+from winchspan.fakes.scenario import Scenario
+
+CLIENT_COUNT = 800
+STOPPED_REQUEST_BYTES = 62_000  # of a body of 64 KiB
+MEMORY_MEGABYTES = 64
+KNOWN = {
+    "seq": 1,
+    "whole": True,
+    "hosts": [{"host": "s-1", "dial": f"{HOST}:9", "site": "a", "class": "m2", "block": 7, "health": "up"}],
+}
+
+
+def request(*words: bytes) -> bytes:
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+
+
+def payment(number: int, names: bytes = b"", body: bytes = b"body") -> bytes:
+    fields = names or b"c=gallery-notice,d=4000,dest=7"
+    return request(b"SUBMIT", b"0", b"%016x" % number, fields, body)
+
+
+@pytest.fixture
+def courier(tmp_path: Path) -> Iterator[CourierProcess]:
+    process = CourierProcess(tmp_path, 0, None)
+    process.configure(Scenario((), (), couriers=1), free_ports(1)[0], KNOWN)
+    config = tmp_path / "config.json"
+    text = config.read_text()
+    limits = f'"memory_mb": {MEMORY_MEGABYTES}, "sockets": 1024'
+    config.write_text(text.replace('"memory_mb": 192, "sockets": 512', limits))
+    process.start()
+    asyncio.run(wait_until_ready(process))
+    yield process
+    process.stop()
+
+
+def peak_megabytes(courier: CourierProcess) -> float:
+    assert courier._process is not None
+    status = Path(f"/proc/{courier._process.pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert found is not None
+    return int(found[1]) / 1024
+
+
+async def wait_until_ready(courier: CourierProcess) -> None:
+    deadline = time.monotonic() + 20.0
+    while time.monotonic() < deadline:
+        try:
+            if await ask(courier, request(b"PING")) == b"+PONG\r\n":
+                return
+        except OSError:
+            await asyncio.sleep(0.05)
+    raise AssertionError("the courier does not answer")
+
+
+async def ask(courier: CourierProcess, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(HOST, courier.port)
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.readline(), 5.0)
+    finally:
+        writer.close()
+
+
+async def stop_half_way(courier: CourierProcess, number: int) -> bytes:
+    """Send most of a large request, and return what the courier answers."""
+    reader, writer = await asyncio.open_connection(HOST, courier.port)
+    complete = payment(number, body=b"x" * 65_536)
+    try:
+        writer.write(complete[:STOPPED_REQUEST_BYTES])
+        return await asyncio.wait_for(reader.readline(), 5.0)
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+# Guards against a memory limit that nothing reads: 900 clients that stopped half way through a large request
+# made a process of 27 MB one of 86 MB, and a process with less was killed.
+def test_clients_that_stop_half_way_leave_the_memory_limit(courier: CourierProcess):
+    async def play() -> tuple[list[bytes], bytes]:
+        stopped = [asyncio.create_task(stop_half_way(courier, number)) for number in range(CLIENT_COUNT)]
+        await asyncio.sleep(0.1)
+        honest = await ask(courier, payment(CLIENT_COUNT, body=b"x" * 32_768))
+        return list(await asyncio.gather(*stopped)), honest
+
+    answers, honest = asyncio.run(play())
+    assert not courier.crashed()
+    assert peak_megabytes(courier) <= MEMORY_MEGABYTES
+    assert honest == b"+OK\r\n"
+    assert sum(answer.startswith(b"-") for answer in answers) >= 0.9 * CLIENT_COUNT
--- a/tests/test_net_client_listener.py
+++ b/tests/test_net_client_listener.py
@@ -185,3 +185,22 @@
     connections.begin_shutdown()
     connections.end_drain()
     assert connections.is_closing_idle and connections.is_stopping
+
+
+# Guards against clients that stop half way through a large request: the limits of descriptors and of one
+# request allow them 60 MB together.
+def test_incomplete_requests_beyond_the_memory_for_all_are_rejected_slowest_first():
+    connections, clock, _ = client_connections(FakeIntake(), socket_limit=20, connection_limit=20)
+    connections._max_receive_buffer_bytes = 300_000
+    clients = []
+    for _ in range(6):
+        clock.advance(10.0)
+        connection, transport = connect(connections)
+        feed(connection, b"*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$1\r\na\r\n$1\r\nx\r\n$65536\r\n" + b"x" * 40_000)
+        clients.append((connection, transport))
+    rejected = [b"-BUSY" in bytes(transport.written) for _, transport in clients]
+    assert rejected[0] and not rejected[-1]
+    assert rejected == sorted(rejected, reverse=True), "those that began first"
+    for connection, _ in clients:
+        connection.connection_lost(None)
+    assert connections._receive_buffer_bytes == 0
--- a/winchspan/application/application.py
+++ b/winchspan/application/application.py
@@ -323,7 +323,8 @@
         self.engine.reconfigure(settings)
         resources.transport.set_settings(transport_settings(settings))
         resources.connections.set_timeouts(pool_timeouts(settings))
-        self._clients.set_limit(max_client_connections(resources.sockets.limit, settings))
+        memory_bytes = self.config.max_memory_bytes
+        self._clients.set_limit(max_client_connections(resources.sockets.limit, settings, memory_bytes))
         resources.classes.clear()
         resources.classes.update(settings.classes)
         for component in self.components:
--- a/winchspan/application/assembly.py
+++ b/winchspan/application/assembly.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from winchspan.application.capacity import max_client_connections
+from winchspan.application.capacity import max_client_connections, receive_buffer_bytes
 from winchspan.application.notifier import PlatformNotifier
 from winchspan.application.registry import ComponentSelection
 from winchspan.application.resources import CourierResources
@@ -53,10 +53,13 @@
         resources.timers,
         resources.sockets,
         ListenerOptions(
-            max_client_connections(resources.sockets.limit, resources.settings),
+            max_client_connections(
+                resources.sockets.limit, resources.settings, resources.config.max_memory_bytes
+            ),
             resources.connections.retire_oldest,
             reports_reasons(resources),
             resources.system.poll_monitor,
             selection.replication,
+            receive_buffer_bytes(resources.config.max_memory_bytes),
         ),
     )
--- a/winchspan/application/capacity.py
+++ b/winchspan/application/capacity.py
@@ -1,4 +1,4 @@
-"""Division of a courier's limits on disk space and file descriptors among its parts."""
+"""Division of a courier's limits on disk space, memory and file descriptors among its parts."""
 
 from __future__ import annotations
 
@@ -12,6 +12,12 @@
 
 ADMIN_DESCRIPTOR_COUNT: Final = 18  # the listening socket, 16 connections, one being accepted
 OWN_DESCRIPTOR_COUNT: Final = 16  # standard streams, the event loop, the journal, the listening socket
+IDLE_MEMORY_BYTES: Final = 32 * 1024 * 1024  # of a process without clients
+CLIENT_MEMORY_BYTES: Final = 8 * 1024  # of a client connection without an incomplete request
+CLIENT_MEMORY_SHARE: Final = 0.3  # share of the memory beyond the idle process for client connections
+RECEIVE_BUFFER_SHARE: Final = 0.25  # the same for their incomplete requests
+MIN_CLIENT_CONNECTIONS: Final = 128
+MIN_RECEIVE_BUFFER_BYTES: Final = 512 * 1024  # a few requests of the greatest size
 CONSENSUS_STORE_BYTES: Final = 512 * 1024  # maximum size of a consensus store's files (consensus/store.py)
 
 
@@ -38,9 +44,30 @@
     return config.max_sockets - (OWN_DESCRIPTOR_COUNT + admin_count + cluster_count)
 
 
-def max_client_connections(capacity: int, settings: api.Settings) -> int:
-    """Return the maximum number of client connections; the rest is for connections to endpoints."""
-    return max(capacity // 2, capacity - settings.slots - 4)
+def max_client_connections(capacity: int, settings: api.Settings, max_memory_bytes: int) -> int:
+    """Return the maximum number of client connections.
+
+    Args:
+        capacity: descriptors for connections to clients and endpoints; the rest is for the endpoints.
+        settings: the settings in force.
+        max_memory_bytes: the process's memory limit.
+    """
+    by_memory = int(CLIENT_MEMORY_SHARE * _client_memory_bytes(max_memory_bytes)) // CLIENT_MEMORY_BYTES
+    by_descriptors = max(capacity // 2, capacity - settings.slots - 4)
+    return min(by_descriptors, max(by_memory, MIN_CLIENT_CONNECTIONS))
+
+
+def receive_buffer_bytes(max_memory_bytes: int) -> int:
+    """Return the memory for the incomplete requests of all clients together.
+
+    Descriptors do not bound it: each of hundreds of clients may stop in the middle of a large request.
+    """
+    by_memory = int(RECEIVE_BUFFER_SHARE * _client_memory_bytes(max_memory_bytes))
+    return max(by_memory, MIN_RECEIVE_BUFFER_BYTES)
+
+
+def _client_memory_bytes(max_memory_bytes: int) -> int:
+    return max(0, max_memory_bytes - IDLE_MEMORY_BYTES)
 
 
 def spare_descriptor_count(config: PlatformConfig, open_count: int) -> int:
--- a/winchspan/config/platform.py
+++ b/winchspan/config/platform.py
@@ -32,6 +32,7 @@
 LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
 _DEFAULT_SOCKETS: Final = 1_024
 _DEFAULT_DISK_MEGABYTES: Final = 3.0
+_DEFAULT_MEMORY_MEGABYTES: Final = 192.0
 _START_ONLY_KEYS: Final = frozenset({"known", "seed", "admin"})
 
 
@@ -87,6 +88,7 @@
         seed: the seed of the random numbers.
         max_sockets: upper bound on open sockets.
         max_disk_bytes: upper bound on the size of the data directory.
+        max_memory_bytes: upper bound on the memory of the process.
         log_level: the lowest level that is logged.
         known_endpoints: the initial endpoint list.
         settings: the settings of the scheduler.
@@ -104,6 +106,7 @@
     seed: int
     max_sockets: int
     max_disk_bytes: int
+    max_memory_bytes: int
     log_level: str
     known_endpoints: Mapping[str, Any]
     settings: api.Settings
@@ -126,6 +129,7 @@
     data_directory: Path
     max_sockets: int
     disk_megabytes: float
+    memory_megabytes: float
     log_level: str
     known_endpoints: Mapping[str, Any]
     seed: int
@@ -213,6 +217,7 @@
         seed=fields.seed,
         max_sockets=fields.max_sockets,
         max_disk_bytes=int(fields.disk_megabytes * BYTES_PER_MEGABYTE),
+        max_memory_bytes=int(fields.memory_megabytes * BYTES_PER_MEGABYTE),
         log_level=fields.log_level,
         known_endpoints=fields.known_endpoints,
         settings=_read_settings(data),
@@ -250,6 +255,7 @@
         data_directory=Path(required("ROUTER_STATE", "state")),
         max_sockets=read_integer(limits, "sockets", _DEFAULT_SOCKETS),
         disk_megabytes=read_finite_number(limits, "disk_mb", _DEFAULT_DISK_MEGABYTES),
+        memory_megabytes=read_finite_number(limits, "memory_mb", _DEFAULT_MEMORY_MEGABYTES),
         log_level=environ.get("ROUTER_LOG", "INFO").upper(),
         known_endpoints=read_object(data, "known"),
         seed=_parse_seed(read_field(data, "seed", str, "0")),
@@ -274,6 +280,8 @@
         raise ConfigError(f"limits.sockets: must be at least {MIN_SOCKETS}, not {fields.max_sockets}")
     if fields.disk_megabytes <= 0:
         raise ConfigError(f"limits.disk_mb: must be positive, not {fields.disk_megabytes}")
+    if fields.memory_megabytes <= 0:
+        raise ConfigError(f"limits.memory_mb: must be positive, not {fields.memory_megabytes}")
     if fields.log_level not in LOG_LEVELS:
         raise ConfigError(f"ROUTER_LOG: expected DEBUG, INFO, WARNING or ERROR, not {fields.log_level!r:.80}")
     if not fields.data_directory.is_dir():
--- a/winchspan/net/client_connection.py
+++ b/winchspan/net/client_connection.py
@@ -79,6 +79,9 @@
     def remove(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
 
+    def count_receive_buffer(self, added_bytes: int) -> None:
+        """Count memory for incomplete requests; may close connections to limit it."""
+
 
 class ClientConnection(BufferedConnection):
     """One client's connection. Requests are answered immediately, in the order of arrival.
@@ -97,6 +100,7 @@
         self._is_replicating = False  # the reply waits for the replication of its message
         self._replicating_handle = -1
         self._active_since_ms = registry.now()
+        self._counted_buffer_bytes = 0  # memory of the receive buffer that the registry has counted
         self.handle = 0
         self.last_use = 0
 
@@ -107,6 +111,7 @@
         self._transport = transport
         self._receive_age.resume()
         transport.set_write_buffer_limits(high=0)
+        self._count_receive_buffer()
         if len(self._receive_buffer):  # bytes that another process has read
             self._is_resume_due = True
             self._registry.call_later(0.0, self._resume)
@@ -114,10 +119,26 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Withdraw the messages whose reply has not been fully sent."""
         self._registry.remove(self)
+        self._receive_buffer.clear()
+        self._count_receive_buffer()
         for handle in self._unsent_handles:
             self._registry.intake.withdraw(handle)
         self._unsent_handles.clear()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the free part of the receive buffer, within the limit of all connections together."""
+        free = super().get_buffer(sizehint)
+        if self._receive_buffer.extra_bytes == self._counted_buffer_bytes:
+            return free
+        self._count_receive_buffer()
+        return super().get_buffer(sizehint)  # this connection may have been evicted
+
+    def _count_receive_buffer(self) -> None:
+        """Have the registry count what the receive buffer has grown or shrunk by."""
+        added_bytes = self._receive_buffer.extra_bytes - self._counted_buffer_bytes
+        self._counted_buffer_bytes += added_bytes
+        self._registry.count_receive_buffer(added_bytes)
+
     def pause_writing(self) -> None:
         """Stop reading: guards against a client that sends requests and never reads replies."""
         self._is_write_blocked = True
@@ -257,6 +278,11 @@
         """Whether an incomplete request has been received."""
         return len(self._receive_buffer) > 0 or self._requests.has_partial_request
 
+    @property
+    def has_grown_buffer(self) -> bool:
+        """Whether an incomplete request occupies memory beyond the smallest buffer."""
+        return self._counted_buffer_bytes > 0 and self._shut_down_at_ms is None and self.has_partial_request
+
     @property
     def active_since_ms(self) -> float:
         """Clock reading of the accept, the last reply, or the begin of the incomplete request."""
@@ -312,6 +338,8 @@
         """Close it to make room for waiting clients; an incomplete request gets a `BUSY` reply."""
         if self.has_partial_request:
             self.close(resp.error_reply("BUSY"))
+            self._receive_buffer.clear()
+            self._count_receive_buffer()
         elif self._transport is not None and not self.has_unread_bytes:
             self._transport.close()
 
--- a/winchspan/net/client_listener.py
+++ b/winchspan/net/client_listener.py
@@ -36,6 +36,11 @@
 IDLE_FRACTION: Final = 8
 """Divisor of the connection limit that gives the limit of idle connections."""
 
+DEFAULT_RECEIVE_BUFFER_BYTES: Final = 16 * 1024 * 1024
+
+RECEIVE_BUFFER_TARGET: Final = 0.9
+"""Share of the memory for incomplete requests down to which requests are rejected once it is used up."""
+
 CLOSE_LIMIT_MS: Final = 150.0
 """Time at shutdown for clients to close their connections."""
 
@@ -50,6 +55,7 @@
         explains_rejections: whether rejection replies include the reason in words.
         poll_monitor: bounds the age of received bytes; None: their age is taken as 0.
         replication: replicates messages before their reply; None: replies do not wait.
+        receive_buffer_bytes: memory for the incomplete requests of all clients together.
     """
 
     limit: int
@@ -57,6 +63,7 @@
     explains_rejections: bool = False
     poll_monitor: PollMonitor | None = None
     replication: ReplicationPort | None = None
+    receive_buffer_bytes: int = DEFAULT_RECEIVE_BUFFER_BYTES
 
 
 class ClientConnections:
@@ -100,6 +107,8 @@
         self.set_limit(options.limit)
         self._connections: SlotTable[ClientConnection] = SlotTable()
         self._use_count = 0
+        self._max_receive_buffer_bytes = options.receive_buffer_bytes
+        self._receive_buffer_bytes = 0
         self._backlog_age = BacklogAge(self.poll_monitor)
         self._is_stopping = False
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -276,6 +285,24 @@
             connection.evict()
         return False
 
+    def count_receive_buffer(self, added_bytes: int) -> None:
+        """Count memory for incomplete requests, and reject the slowest of them beyond the limit.
+
+        The requests that have been incomplete for longest are rejected first: a client that sends its
+        request in one piece is among the last.
+        """
+        self._receive_buffer_bytes += added_bytes
+        if added_bytes <= 0 or self._receive_buffer_bytes <= self._max_receive_buffer_bytes:
+            return
+        target_bytes = RECEIVE_BUFFER_TARGET * self._max_receive_buffer_bytes
+        slowest = [connection for connection in self._connections if connection.has_grown_buffer]
+        slowest.sort(key=lambda connection: connection.active_since_ms)
+        for count, connection in enumerate(slowest):
+            if self._receive_buffer_bytes <= target_bytes:
+                logger.info("client connections: rejected {} incomplete requests, for lack of memory", count)
+                return
+            connection.evict()
+
     # ---- draining and shutdown ---------------------------------------------------------------------------
     @property
     def is_stopping(self) -> bool:
--- a/winchspan/net/receive_buffer.py
+++ b/winchspan/net/receive_buffer.py
@@ -33,6 +33,16 @@
             self.start, self.end = 0, size
         return memoryview(self.data)[self.end :]
 
+    @property
+    def extra_bytes(self) -> int:
+        """Memory that the buffer occupies beyond its smallest size."""
+        return len(self.data) - _MIN_SIZE_BYTES
+
+    def clear(self) -> None:
+        """Discard the content and the memory for it."""
+        self.data = bytearray(_MIN_SIZE_BYTES)
+        self.start = self.end = 0
+
     def restore(self, data: bytes) -> None:
         """Replace the content with bytes that another process has read and not parsed."""
         self.data = bytearray(max(_MIN_SIZE_BYTES, 2 * len(data)))
