--- a/tests/test_client_behaviour_processes.py
+++ b/tests/test_client_behaviour_processes.py
@@ -17,6 +17,7 @@
 CLIENT_COUNT = 800
 STOPPED_REQUEST_BYTES = 62_000  # of a body of 64 KiB
 MEMORY_MEGABYTES = 64
+CLIENT_TIMEOUT_SECONDS = 0.4
 KNOWN = {
     "seq": 1,
     "whole": True,
@@ -102,3 +103,30 @@
     assert peak_megabytes(courier) <= MEMORY_MEGABYTES
     assert honest == b"+OK\r\n"
     assert sum(answer.startswith(b"-") for answer in answers) >= 0.9 * CLIENT_COUNT
+
+
+# Guards against requests that cost much time each: sixteen lists of 8,000 names took 200 ms in one cycle.
+def test_lists_of_very_many_names_do_not_hold_up_other_clients(courier: CourierProcess):
+    names = b",".join(b"a%d=1" % number for number in range(8_000))
+    delays: list[float] = []
+
+    async def flood(until: float) -> None:
+        while time.monotonic() < until:
+            reader, writer = await asyncio.open_connection(HOST, courier.port)
+            writer.write(payment(1, names) * 16)
+            assert (await asyncio.wait_for(reader.readline(), 5.0)).startswith(b"-ERR")
+            writer.close()
+
+    async def usual(until: float) -> None:
+        while time.monotonic() < until:
+            sent_at = time.monotonic()
+            assert await ask(courier, request(b"PING")) == b"+PONG\r\n"
+            delays.append(time.monotonic() - sent_at)
+            await asyncio.sleep(0.01)
+
+    async def play() -> None:
+        until = time.monotonic() + 3.0
+        await asyncio.gather(*[flood(until) for _ in range(100)], *[usual(until) for _ in range(4)])
+
+    asyncio.run(play())
+    assert max(delays) < CLIENT_TIMEOUT_SECONDS
--- a/winchspan/net/request_executor.py
+++ b/winchspan/net/request_executor.py
@@ -17,6 +17,10 @@
 """Most requests of one connection that are answered before other connections are served."""
 
 
+MAX_PING_BYTES: Final = 1024
+"""Longest word that `PING` returns; replies that a client does not read occupy memory."""
+
+
 class RequestContext(Protocol):
     """The parts of the courier that requests use."""
 
@@ -101,6 +105,8 @@
             if command == b"PING" and self._context.is_out_of_service:
                 return (resp.error_reply("BUSY out of service"),)
             if command == b"PING":
+                if len(words[-1]) > MAX_PING_BYTES:
+                    raise BadRequestError("the word of PING is too long")
                 return resp.bulk_string(words[1]) if len(words) > 1 else (resp.simple_string("PONG"),)
             raise BadRequestError(f"unknown command {words[0][:32].decode('latin-1')!r}")
         except RejectedError as rejection:
