Reject messages of a client that has left before they are read

Cause: whether the client had closed its connection was asked only for requests older than its reply timeout.

Change: it is asked before each batch, and messages of a client that has ended its sending side are rejected.

--- a/tests/test_client_behaviour_processes.py
+++ b/tests/test_client_behaviour_processes.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import re
+import signal
+import socket
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -11,9 +13,13 @@
 import pytest
 
 from winchspan.fakes.courier_process import HOST, CourierProcess
+from winchspan.fakes.fleet_courier import wait_for
 from winchspan.fakes.ports import free_ports
+from winchspan.fakes.recording_endpoints import ThreadedRecordingEndpoints
 from winchspan.fakes.scenario import Scenario
 
+from .fleet_helpers import has_started
+
 CLIENT_COUNT = 800
 STOPPED_REQUEST_BYTES = 62_000  # of a body of 64 KiB
 MEMORY_MEGABYTES = 64
@@ -130,3 +136,29 @@
 
     asyncio.run(play())
     assert max(delays) < CLIENT_TIMEOUT_SECONDS
+
+
+# Guards against requests that are read after their client has left: it cannot hear that its message is
+# accepted, and hands it in elsewhere.
+def test_requests_whose_client_has_left_are_not_sent_on(tmp_path: Path):
+    partner = ThreadedRecordingEndpoints(1, 1_000.0)
+    partner.service_seconds = 0.01
+    process = CourierProcess(tmp_path, 0, None)
+    process.configure(Scenario((), (), couriers=1), partner.agent_port, partner.endpoint_list())
+    process.start()
+    try:
+        asyncio.run(wait_until_ready(process))
+        fields = b"c=gallery-notice,d=4000,dest=0"
+        assert asyncio.run(ask(process, payment(1, fields))) == b"+OK\r\n"
+        assert process._process is not None
+        process._process.send_signal(signal.SIGSTOP)
+        with socket.create_connection((HOST, process.port)) as client:
+            client.sendall(b"".join(payment(number, fields) for number in range(2, 42)))
+        process._process.send_signal(signal.SIGCONT)
+        assert asyncio.run(ask(process, payment(100, fields))) == b"+OK\r\n"
+        wait_for("the last is delivered", lambda: has_started(partner, f"{100:016x}"))
+        time.sleep(0.3)
+        assert [each.message_id for each in partner.delivery_starts] == [f"{1:016x}", f"{100:016x}"]
+    finally:
+        process.stop()
+        partner.close()
--- a/winchspan/net/client_connection.py
+++ b/winchspan/net/client_connection.py
@@ -179,11 +179,12 @@
         if transport is None or transport.is_closing() or self._shut_down_at_ms is not None:
             return
         age_ms = max(0.0, self._registry.now() - self._receive_age.received_after_ms)
-        if age_ms >= CLIENT_REPLY_TIMEOUT_MS and self._has_client_closed():
+        has_client_closed = self._has_client_closed()
+        if age_ms >= CLIENT_REPLY_TIMEOUT_MS and has_client_closed:
             transport.abort()
             return
         bad_request_count = self.bad_request_count
-        batch = self._requests.execute_batch(self._receive_buffer, age_ms)
+        batch = self._requests.execute_batch(self._receive_buffer, age_ms, may_submit=not has_client_closed)
         if batch.is_replicating:
             self._is_replicating = True
             self._begin_replication(batch.replies[:-1], batch.handles)
@@ -215,10 +216,10 @@
         self.last_use = self._registry.next_use()
 
     def _has_client_closed(self) -> bool:
-        """Return whether the client has closed the connection.
+        """Return whether the client has closed the connection, or its sending side.
 
-        Guards against requests that are read late, after their client has timed out and submitted them
-        elsewhere: their delivery here would be of no use.
+        Guards against requests whose client has left before they were read: it does not get the reply, and
+        may have submitted the message elsewhere.
         """
         return self._is_socket_ready(select.POLLRDHUP)
 
--- a/winchspan/net/request_executor.py
+++ b/winchspan/net/request_executor.py
@@ -74,8 +74,14 @@
         """Whether the parser has read a part of a request."""
         return self._parser.has_partial_request
 
-    def execute_batch(self, buffer: ReceiveBuffer, age_ms: float) -> RequestBatch:
-        """Execute complete requests, sent at most `age_ms` ago, up to the limit of one dispatch cycle."""
+    def execute_batch(self, buffer: ReceiveBuffer, age_ms: float, *, may_submit: bool = True) -> RequestBatch:
+        """Execute complete requests, up to the limit of one dispatch cycle.
+
+        Args:
+            buffer: the received bytes.
+            age_ms: upper bound on the time since the client sent them.
+            may_submit: whether messages may be accepted; otherwise they are rejected.
+        """
         batch = RequestBatch()
         try:
             while batch.request_count < MAX_REQUESTS_PER_CYCLE and not batch.is_replicating:
@@ -83,7 +89,7 @@
                 if request is None:
                     break
                 words, buffer.start = request
-                pieces = self._execute(words, batch, age_ms)
+                pieces = self._execute(words, batch, age_ms, may_submit=may_submit)
                 batch.replies.extend(pieces)
                 batch.size += sum(map(len, pieces))
                 batch.reply_ends.extend([batch.size] * (len(batch.handles) - len(batch.reply_ends)))
@@ -94,10 +100,14 @@
             batch.is_protocol_broken = True
         return batch
 
-    def _execute(self, words: list[bytes], batch: RequestBatch, age_ms: float) -> tuple[bytes, ...]:
+    def _execute(
+        self, words: list[bytes], batch: RequestBatch, age_ms: float, *, may_submit: bool
+    ) -> tuple[bytes, ...]:
         """Execute one request and return the pieces of its reply; add the handle of an accepted message."""
         command = words[0].upper()
         try:
+            if command == b"SUBMIT" and not may_submit:
+                raise RejectedError(0.0, "its client has closed the connection")
             if command == b"SUBMIT":
                 batch.handles.append(parse_submit(words, self._context.intake, age_ms))
                 batch.is_replicating = self._context.replication is not None
