--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -282,16 +282,21 @@
     assert report.audit.violations == {}
 
 
+def start_and_wait(fleet: EmulatedFleet) -> None:
+    """Start all members, and wait until each owns its journal."""
+    fleet.start()
+    fleet.wait_until(
+        "all accept messages",
+        lambda: all(member.metrics().get("fleet.copies.mine") for member in fleet.members.values()),
+    )
+
+
 def fail_with_calls_in_flight(directory: Path, failure: str) -> dict[str, list[str]]:
     """Return the violations when a courier with calls in flight fails, is taken over, and recovers."""
     fleet = make_emulated_fleet(directory, 3, 1, "(copies 1)")
     try:
         fleet.endpoints.service_seconds = 1.0
-        fleet.start()
-        fleet.wait_until(
-            "all accept messages",
-            lambda: all(member.metrics().get("fleet.copies.mine") for member in fleet.members.values()),
-        )
+        start_and_wait(fleet)
         deadlines_seconds = {DEPOSIT: 24.0, PAYMENT: 24.0, NOTICE: 9.0}
         load = ClientLoad(
             fleet.ports, 30.0, DESTINATION_COUNT, fleet.now, deadlines_seconds=deadlines_seconds
@@ -381,11 +386,7 @@
     fleet = make_emulated_fleet(directory, 3, seed, "(copies 1) (copies-mb 0.1)")
     try:
         fleet.endpoints.service_seconds = 0.2
-        fleet.start()
-        fleet.wait_until(
-            "all accept messages",
-            lambda: all(member.metrics().get("fleet.copies.mine") for member in fleet.members.values()),
-        )
+        start_and_wait(fleet)
         fleet.run(3.0)
         load = ClientLoad(fleet.ports, 60.0, DESTINATION_COUNT, fleet.now, seed)
         clients = fleet.loop.create_task(load.run())
@@ -427,11 +428,7 @@
     deposit = replace(MESSAGE_CLASSES[DEPOSIT], effect=api.Effect.REPEATABLE, ordered=False)
     try:
         fleet.endpoints.service_seconds = 9.0
-        fleet.start()
-        fleet.wait_until(
-            "all accept messages",
-            lambda: all(member.metrics().get("fleet.copies.mine") for member in fleet.members.values()),
-        )
+        start_and_wait(fleet)
         fleet.run(3.0)
         load = ClientLoad(fleet.ports, 30.0, DESTINATION_COUNT, fleet.now, seed)
         clients = fleet.loop.create_task(load.run())
