Two tests follow the rejection of messages of clients that have left

A fault that the auditor's test injects wraps RequestExecutor._execute, which has a keyword argument now: the wrapper passes it on, and breaks the same rule as before. The test of a client that has left stopped the courier before the first message was delivered, so that the order of its two deliveries was open: it waits for the first one now.

--- a/tests/test_client_behaviour_processes.py
+++ b/tests/test_client_behaviour_processes.py
@@ -150,6 +150,7 @@
         asyncio.run(wait_until_ready(process))
         fields = b"c=gallery-notice,d=4000,dest=0"
         assert asyncio.run(ask(process, payment(1, fields))) == b"+OK\r\n"
+        wait_for("the first is delivered", lambda: has_started(partner, f"{1:016x}"))
         assert process._process is not None
         process._process.send_signal(signal.SIGSTOP)
         with socket.create_connection((HOST, process.port)) as client:
--- a/tests/test_simulation_auditor.py
+++ b/tests/test_simulation_auditor.py
@@ -152,7 +152,9 @@
 def reply_twice(patch: pytest.MonkeyPatch) -> None:
     execute = RequestExecutor._execute
     patch.setattr(
-        RequestExecutor, "_execute", lambda self, *args: (*execute(self, *args), resp.simple_string("OK"))
+        RequestExecutor,
+        "_execute",
+        lambda self, *args, **more: (*execute(self, *args, **more), resp.simple_string("OK")),
     )
 
 
