An outage that ended long before a restart no longer slows it down

Callers would have seen: couriers that start 60 s behind the end of an outage send 0.50 to 0.78 of what comes in their first ten seconds, in fleets of 30 and 200 with little traffic each, where 0.9 is wanted.

Change: an outage is recorded again while it is assumed, so that the record's age is that of the last evidence. Within cold_ns it goes on as before; an older one has ended in the middle of that time.

--- a/tests/slow_start_fleet.py
+++ b/tests/slow_start_fleet.py
@@ -66,6 +66,7 @@
         late_calls: share of the calls with ten times the latency.
         restarts: share of the senders that restart in the middle of the outage, with their held messages.
         down_seconds: the time for which these are down; not 0: they are back with the destination.
+        late_start_seconds: how long after the destination's return these are back.
         new_endpoint: whether a further endpoint is listed in the middle of the outage.
         warm_up_seconds: the time before the outage.
         cool_down_seconds: the time after the outage in which messages arrive.
@@ -83,6 +84,7 @@
     late_calls: float = 0.0
     restarts: float = 0.0
     down_seconds: float = 0.0
+    late_start_seconds: float = 0.0
     new_endpoint: bool = False
     warm_up_seconds: float = 15.0
     cool_down_seconds: float = 20.0
@@ -103,6 +105,8 @@
         delivered: all messages delivered.
         first_calls: calls in the first seconds after the return.
         first_offered: messages that arrived in the same time.
+        restarted_calls: calls of restarted senders in the first seconds after their start.
+        restarted_offered: messages that arrived there in the same time.
     """
 
     worst_load: float = 0.0
@@ -115,6 +119,8 @@
     delivered: int = 0
     first_calls: int = 0
     first_offered: int = 0
+    restarted_calls: int = 0
+    restarted_offered: int = 0
 
 
 def fleet_settings(day: FleetDay) -> Settings:
@@ -157,6 +163,7 @@
     rate_per_s: float
     is_aware: bool = False
     is_down: bool = False
+    started_ns: int | None = None  # when it was started again; None: it was not
     incarnation: int = 0
     held: dict[str, _HeldMessage] = field(default_factory=dict)
     recorded: api.RecordSlowStart | None = None  # the latest record, as in the journal
@@ -239,7 +246,8 @@
         for number in range(int(self.day.restarts * self.day.senders)):
             killed_at_ns = kill_ns + self.rng.randrange(SECOND // 2)
             self._push(killed_at_ns, _Kind.KILL, number, None)
-            self._push(killed_at_ns + down_ns, _Kind.START, number, None)
+            late_ns = int(self.day.late_start_seconds * SECOND)
+            self._push(killed_at_ns + down_ns + late_ns, _Kind.START, number, None)
         if self.day.fault is Fault.REPLACE:
             for number in range(self.day.senders):
                 self._push(self.outage_ns, _Kind.LISTING, number, None)
@@ -260,6 +268,7 @@
                 sender.held[message] = _HeldMessage(now)
                 self.result.offered += 1
                 self.result.first_offered += self._has_just_returned(now)
+                self.result.restarted_offered += self._has_just_started(sender, now)
                 self._drive(now, number, [api.MessageArrived(message, CLASS.name, DESTINATION, DEADLINE_NS)])
             case _Kind.TIMER:
                 if data == sender.incarnation:
@@ -275,6 +284,7 @@
                 sender.calls.clear()
             case _Kind.START:
                 sender.is_down = False
+                sender.started_ns = now
                 self._start_again(now, number)
 
     def _listing(self, now: int) -> api.EndpointsUpdated:
@@ -328,6 +338,7 @@
         sender = self.senders[number]
         held = sender.held[message]
         self.result.first_calls += self._has_just_returned(now)
+        self.result.restarted_calls += self._has_just_started(sender, now)
         call = _OutgoingCall(
             number, sender.incarnation, message, held.attempt_count, endpoint, now, abandon_at_ns
         )
@@ -352,6 +363,10 @@
     def _has_just_returned(self, now: int) -> bool:
         return 0 <= now - self.return_ns < FIRST_SECONDS * SECOND
 
+    @staticmethod
+    def _has_just_started(sender: _Sender, now: int) -> bool:
+        return sender.started_ns is not None and now - sender.started_ns < FIRST_SECONDS * SECOND
+
     def _is_in_outage(self, now: int) -> bool:
         return self.day.fault not in (Fault.NONE, Fault.REPLACE) and self.outage_ns <= now < self.return_ns
 
--- a/tests/test_scheduling_slow_start_fleet.py
+++ b/tests/test_scheduling_slow_start_fleet.py
@@ -133,6 +133,28 @@
         assert result.first_calls >= MIN_CALLS_PER_MESSAGE * result.first_offered, (seed, result)
 
 
+# Guards against a crawl after an outage that ended long before the restart, which only the journal remembers.
+@pytest.mark.parametrize("late_start_seconds", [20.0, 60.0])
+@pytest.mark.parametrize(("senders", "calls_per_s"), [(3, 1.75), (30, 2.0), (200, 0.5)])
+def test_fleet_with_senders_that_restart_long_after_an_outage_sends_what_comes(
+    senders: int, calls_per_s: float, late_start_seconds: float
+):
+    day = FleetDay(
+        senders,
+        calls_per_s,
+        outage_seconds=18.9,
+        restarts=0.7,
+        down_seconds=3.0,
+        late_start_seconds=late_start_seconds,
+        headroom=1.3,
+        cool_down_seconds=late_start_seconds + FIRST_SECONDS + 2.0,
+    )
+    for seed in (1, 2):
+        result = play_fleet(day, seed)
+        assert result.broken_at_s is None, (seed, result)
+        assert result.restarted_calls >= MIN_CALLS_PER_MESSAGE * result.restarted_offered, (seed, result)
+
+
 # Guards against a restarted sender that has seen only rejections, and treats them as a rate limit's.
 def test_fleet_with_restarts_in_an_outage_of_rejections_sends_what_comes_where_no_rate_is_listed():
     day = FleetDay(
--- a/winchspan/scheduling/slow_start.py
+++ b/winchspan/scheduling/slow_start.py
@@ -54,6 +54,7 @@
 FAILURE_RATIO_STEP: Final = 0.25  # weight of one outcome in the smoothed failure ratio
 TRANSIENT_FAILURE_DIVISOR: Final = 4  # failures that end within tip_after_ns / 4 are transient
 TRANSIENT_DELAY_DIVISOR: Final = 2  # same, for calls that were late or that failed with an error
+OUTAGE_RECORD_DIVISOR: Final = 8  # an outage that lasts is recorded again each cold_ns / 8
 APPROXIMATE_RATE_MARGIN: Final = 1.5  # an approximate listed rate may exceed the true rate by this factor
 
 
@@ -95,6 +96,7 @@
             slow start.
         slow_start_end_ns: when the slow start ends; `cold_ns` after the latest possible time of the return.
         next_call_ns: when the next call may be sent, while calls are paced.
+        recorded_ns: when the outage was last recorded for the next incarnation.
         demand: the estimated load that the sender puts on the capacity.
     """
 
@@ -111,6 +113,7 @@
     return_ns: int | None = None
     slow_start_end_ns: int = 0
     next_call_ns: int = 0
+    recorded_ns: int = 0
     demand: Demand = field(default_factory=Demand.unknown)
 
     @property
@@ -260,15 +263,19 @@
     def restore(self, capacity: Capacity, recovered: SlowStartRecovered, now: int) -> None:
         """Restore the state of the previous incarnation, so that a restart does not lose it.
 
-        A slow start ends after `cold_ns`. An outage ends with a delivery only, however long ago it began: the
-        capacity may return at the moment of the restart.
+        A slow start ends after `cold_ns`. An outage that was recorded within this time may end at the moment
+        of the restart. If it was recorded earlier, the capacity has returned at some time since then, on
+        average in the middle.
         """
         state, settings = capacity.slow_start, self.settings
-        is_warm = recovered.phase is SlowStartPhase.SLOW_START and recovered.elapsed_ns >= settings.cold_ns
+        is_old = recovered.elapsed_ns >= settings.cold_ns
+        is_warm = recovered.phase is SlowStartPhase.SLOW_START and is_old
         if recovered.phase is SlowStartPhase.HEALTHY or is_warm:
             return
         state.demand.delivered.set_rate(recovered.calls_per_s / SECOND, settings.cold_ns, now)
-        if recovered.phase is SlowStartPhase.OUTAGE:
+        if recovered.phase is SlowStartPhase.OUTAGE and is_old:
+            self._set_slow_start(state, now - recovered.elapsed_ns // 2, now)
+        elif recovered.phase is SlowStartPhase.OUTAGE:
             state.is_outage = True
             state.had_served_unlimited = recovered.calls_per_s > 0
             state.failure_kind = FailureKind.SILENT
@@ -289,6 +296,8 @@
     def ready_ns(self, capacity: Capacity, now: int) -> int:
         """Return when the next call may be sent; at or before `now`: at once."""
         state = capacity.slow_start
+        if state.is_outage and now >= state.recorded_ns + self.settings.cold_ns // OUTAGE_RECORD_DIVISOR:
+            self._record_outage(capacity, now)  # its record tells for how long there has been no evidence
         if state.return_ns is not None and not state.is_outage and now >= state.slow_start_end_ns:
             state.return_ns = None
             state.demand.delivered.skip_to(now)
@@ -359,7 +368,7 @@
         self._log(
             f"{capacity.name}: outage, {self._evidence_text(state, now)}; {self._rate_text(capacity, now)}"
         )
-        self._record(capacity, SlowStartPhase.OUTAGE, now)
+        self._record_outage(capacity, now)
 
     def _is_transient(self, state: SlowStart, sent_ns: int, now: int, *, was_overdue: bool) -> bool:
         """Return whether the failures before a delivery count as transient, rather than as an outage.
@@ -468,6 +477,11 @@
         wait = capacity.slow_start.next_call_ns / SECOND
         return f"share of the demand {demand:.3f} calls/s, next call at {wait:.2f} s"
 
+    def _record_outage(self, capacity: Capacity, now: int) -> None:
+        """Record that an outage is assumed at present."""
+        capacity.slow_start.recorded_ns = now
+        self._record(capacity, SlowStartPhase.OUTAGE, now)
+
     def _record(self, capacity: Capacity, phase: SlowStartPhase, since_ns: int) -> None:
         """Record the state for the next incarnation, except for routes, which have no persistent number."""
         if capacity.destination is not None:
