--- a/tests/test_replica_store.py
+++ b/tests/test_replica_store.py
@@ -285,3 +285,20 @@
             break
         index += 1
     assert 15 < index < 25
+
+
+# Guards against a replica that drops the classes of its owner's next messages: tables of other couriers, that
+# a takeover has recorded, counted as the ones in force.
+def test_replica_after_a_takeover_by_its_owner_keeps_the_owners_classes(tmp_path: Path, owner: OwnerJournal):
+    owner.record_classes([{"name": "order-payment", "effect": "own"}])
+    own_table = owner.current_class_table
+    foreign_table = owner.import_class_table([{"name": "order-payment", "effect": "foreign"}])
+    assert owner.import_class_table([{"name": "order-payment", "effect": "foreign"}]) == foreign_table
+    replica = open_replica(tmp_path)
+    assert replica.replace(3, 0, tuple(owner.snapshot_records()))
+    owner.written.clear()
+    assert owner.current_class_table == own_table
+    owner.accept_one(1)
+    assert replica.append(3, 1, tuple(owner.written))
+    (entry,) = replica.open_messages
+    assert replica.class_tables[entry.class_table] == [{"name": "order-payment", "effect": "own"}]
--- a/winchspan/storage/journal.py
+++ b/winchspan/storage/journal.py
@@ -159,16 +159,13 @@
                 return number
         number = max(state.class_tables, default=0) + 1
         # The last table recorded is the current one to whoever reads the records.
-        current = ClassTableDefined(state.current_class_table, self._current_rows())
-        data = ClassTableDefined(number, rows).encode() + current.encode()
+        current = state.class_table_records({state.current_class_table})
+        data = b"".join(record.encode() for record in [ClassTableDefined(number, rows), *current])
         if not self._has_capacity(len(data)) or not self._append(data):
             return None
         state.class_tables[number] = rows
         return number
 
-    def _current_rows(self) -> list[dict[str, Any]]:
-        return self._state.class_tables.get(self._state.current_class_table, [])
-
     def take_over(self, entry: JournalEntry, owner: str, epoch: int) -> int | None:
         """Record an open message that is taken over from another courier.
 
@@ -296,7 +293,7 @@
         records: list[JournalRecord] = []
         if state.last_attempt_at_ms:
             records.append(LastAttemptRecorded(state.last_attempt_at_ms))
-        records += [ClassTableDefined(number, rows) for number, rows in sorted(state.class_tables.items())]
+        records += state.class_table_records(set(state.class_tables))
         if state.disabled_endpoints:
             records.append(EndpointsDisabled(state.disabled_endpoints))
         records += [MessageAccepted(entry) for entry in state.ordered_messages()]
--- a/winchspan/storage/journal_state.py
+++ b/winchspan/storage/journal_state.py
@@ -152,6 +152,13 @@
         """Return the numbers of the class tables that open messages refer to, and of the current one."""
         return {entry.class_table for entry in self.messages.values()} | {self.current_class_table}
 
+    def class_table_records(self, numbers: set[int]) -> list[ClassTableDefined]:
+        """Return the records of class tables, the current one last: it is in force for whoever reads them."""
+        known = sorted(
+            numbers & self.class_tables.keys(), key=lambda each: (each == self.current_class_table, each)
+        )
+        return [ClassTableDefined(number, self.class_tables[number]) for number in known]
+
     def encode_settings(self) -> list[bytes]:
         """Encode the records of all settings, with which a compacted file begins."""
         records: list[JournalRecord] = []
@@ -159,8 +166,7 @@
             records.append(LastAttemptRecorded(self.last_attempt_at_ms))
         if self.clock_anchor is not None:
             records.append(self.clock_anchor)
-        tables = self.used_class_tables() & self.class_tables.keys()
-        records += [ClassTableDefined(number, self.class_tables[number]) for number in sorted(tables)]
+        records += self.class_table_records(self.used_class_tables())
         if self.disabled_endpoints:
             records.append(EndpointsDisabled(self.disabled_endpoints))
         if self.work_epoch:
