A message that waits keeps its class over a change of settings

Cause: the event names the class, and the scheduler looks the name up when the event comes.

Change: events that wait are given the class that their message was accepted under, when they are released and when settings change.

--- a/tests/delivery_world.py
+++ b/tests/delivery_world.py
@@ -10,7 +10,7 @@
 from winchspan.api import Outcome
 from winchspan.delivery.engine import DeliveryEngine
 from winchspan.delivery.messages import AttemptResult, OutgoingMessage, SubmittedMessage
-from winchspan.delivery.ports import DeadLetterPort, EnginePorts
+from winchspan.delivery.ports import DeadLetterPort, EnginePorts, ReplicationPort
 from winchspan.runtime.clock import ManualClock
 from winchspan.runtime.timers import TimerQueue
 from winchspan.storage.journal import Journal
@@ -105,6 +105,7 @@
         kind: str = "",
         disk_limit_bytes: int = 1_000_000,
         create_dead_letters: Callable[[World], DeadLetterPort] | None = None,
+        replication: ReplicationPort | None = None,
         **changes: object,
     ) -> None:
         self.directory, self.kind, self.disk_limit_bytes, self.create_dead_letters = (
@@ -113,6 +114,7 @@
             disk_limit_bytes,
             create_dead_letters,
         )
+        self.replication = replication
         classes = CLASSES | {"keyed": KEYED}
         values = settings(**{"classes": classes} | changes)
         self.settings = replace(values, notifications_are_acknowledged=True, can_recall=True)
@@ -132,6 +134,7 @@
             notifier=self.transport,
             call_soon=self.callbacks.append,
             dead_letters=self.create_dead_letters(self) if self.create_dead_letters else None,
+            replication=self.replication,
         )
         self.engine = DeliveryEngine(self.settings, 1, ports)
         rows = tuple(api.EndpointEntry(e, e // 10, kind=self.kind) for e in (11, 21))
--- a/tests/test_config_class_hand_over.py
+++ b/tests/test_config_class_hand_over.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
@@ -10,6 +11,7 @@
 from winchspan.api import Effect, Outcome, Settings
 from winchspan.config.transitions import CLASS_TRANSITION_MS
 from winchspan.delivery.messages import AttemptResult
+from winchspan.delivery.ports import NoReplication
 from winchspan.delivery.reconfiguration import ClassesState
 from winchspan.upgrade.state_codec import decode_state, encode_state
 from winchspan.upgrade.transferred_state import TransferredState
@@ -128,3 +130,54 @@
     classes = upgrade.old.engine.export_classes()
     state = TransferredState(is_out_of_service=False, clients=[], classes=classes)
     assert decode_state(encode_state(state)).classes == classes
+
+
+class HeldKeys(NoReplication):
+    """Holds back each message until the test releases it, as a claim of another courier does."""
+
+    def __init__(self) -> None:
+        self.on_ready: list[Callable[[None], None]] = []
+
+    def wait_for_predecessors(
+        self,
+        number: int,
+        class_name: str,
+        key: int | None,
+        idempotency_key: str,
+        origin: str | None,
+        on_ready: Callable[[None], None],
+    ) -> None:
+        self.on_ready.append(on_ready)
+
+
+def end_transition(world: World) -> None:
+    repeatable = replace(world.settings.classes["once"], effect=Effect.REPEATABLE)
+    changed = replace(world.settings, classes={**world.settings.classes, "once": repeatable})
+    world.engine.reconfigure(changed)
+    world.run(int(CLASS_TRANSITION_MS) + 10)
+
+
+def effect_of(world: World, message_id: str) -> Effect:
+    return world.engine._context.scheduler.held[message_id].message_class.effect
+
+
+# Guards against a message that waits for another courier's, or for the end of a suspension, while its class
+# changes: it came to the scheduler under the new class, and might have run twice.
+def test_message_that_waits_for_another_couriers_keeps_its_class(tmp_path: Path):
+    held = HeldKeys()
+    world = World(tmp_path, replication=held)
+    world.submit("m1", "once")
+    end_transition(world)
+    held.on_ready.pop()(None)
+    world.run()
+    assert effect_of(world, "m1") is Effect.ONCE
+
+
+def test_message_that_waits_for_the_end_of_a_suspension_keeps_its_class(tmp_path: Path):
+    world = World(tmp_path)
+    world.engine.suspend(True)
+    world.submit("m1", "once")
+    end_transition(world)
+    world.engine.suspend(False)
+    world.run()
+    assert effect_of(world, "m1") is Effect.ONCE
--- a/winchspan/delivery/admission_queue.py
+++ b/winchspan/delivery/admission_queue.py
@@ -123,7 +123,8 @@
         waiting = self._waiting.pop(journal_number, None)
         if waiting is not None:
             waited_ms = self._clock.now() - waiting.enqueued_ms
-            self._events.post(_event_after_wait(waiting.event, waited_ms, earlier_run))
+            event = _event_after_wait(waiting.event, waited_ms, earlier_run)
+            self._events.post(self._events.with_accepted_class(event))
 
     def _admit_backlog(self) -> None:
         while self._backlog and len(self._admitted_takeovers) < self._takeover_limit():
--- a/winchspan/delivery/context.py
+++ b/winchspan/delivery/context.py
@@ -25,6 +25,7 @@
 from winchspan.scheduling.scheduler import Scheduler
 from winchspan.storage.accepted_class import accepted_class
 from winchspan.storage.journal import Journal
+from winchspan.storage.journal_records import JournalEntry
 
 
 class AttemptHold(Enum):
@@ -126,6 +127,16 @@
         accepted = None if entry is None else accepted_class(self.journal.class_tables, entry)
         return accepted or self.classes.get(message.class_name)
 
+    def class_name_of(self, entry: JournalEntry) -> str:
+        """Return the scheduler's name for the class that a journal entry was accepted under."""
+        message_class = accepted_class(self.journal.class_tables, entry)
+        if message_class is None or message_class == self.classes.get(entry.class_name):
+            return entry.class_name
+        # No class of the platform has a line feed in its name.
+        name = f"{entry.class_name}\n{entry.class_table}"
+        self.classes[name] = message_class
+        return name
+
     def is_at_most_once(self, message: AcceptedMessage) -> bool:
         """Return whether a message must run at most once; True where its class is not known."""
         message_class = self.accepted_class_of(message)
--- a/winchspan/delivery/event_queue.py
+++ b/winchspan/delivery/event_queue.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from typing import TypeVar
 
 from winchspan import api
 from winchspan.delivery.context import EngineContext
 from winchspan.delivery.message_table import MessageTable
 from winchspan.runtime.clock import ms_to_ns, ns_to_ms
 
+EventT = TypeVar("EventT", bound=api.Event)
+
 
 class EventQueue:
     """Events that the scheduler has not handled yet, in order.
@@ -45,6 +48,20 @@
         self.pending = []
         return events
 
+    def keep_accepted_classes(self) -> None:
+        """Have all queued events name the classes that their messages were accepted under."""
+        self.pending = [self.with_accepted_class(event) for event in self.pending]
+
+    def with_accepted_class(self, event: EventT) -> EventT:
+        """Return an event that names the class that its message was accepted under, whatever is in force."""
+        if isinstance(event, api.MessageRecovered):
+            return replace(event, arrived=self.with_accepted_class(event.arrived))
+        if not isinstance(event, api.MessageArrived):
+            return event
+        message = self._table.find(event.message)
+        entry = None if message is None else self._context.journal.get(message.journal_number)
+        return event if entry is None else replace(event, class_name=self._context.class_name_of(entry))
+
     def refresh(self, events: list[api.Event], suspended_at_ms: float) -> list[api.Event]:
         """Return events with their times adjusted for a suspension of the engine.
 
--- a/winchspan/delivery/reconfiguration.py
+++ b/winchspan/delivery/reconfiguration.py
@@ -17,8 +17,6 @@
 from winchspan.delivery.dispatch_cycle import DispatchCycle
 from winchspan.delivery.event_queue import EventQueue
 from winchspan.runtime.timers import Timer
-from winchspan.storage.accepted_class import accepted_class
-from winchspan.storage.journal_records import JournalEntry
 
 
 class ClassesState(NamedTuple):
@@ -75,6 +73,7 @@
     def _put_in_force(self, settings: api.Settings) -> None:
         self._context.settings = settings
         self._context.classes = dict(settings.classes)
+        self._events.keep_accepted_classes()  # of events that wait for the end of a suspension
         self.record_classes()
         self._context.metrics.register_classes(settings.classes)
         self._context.scheduler.reconfigure(replace(settings, classes=self._context.classes))
@@ -120,17 +119,6 @@
         classes = self._context.settings.classes.values()
         self._journal.record_classes([message_class_to_json(message_class) for message_class in classes])
 
-    def class_name_of(self, entry: JournalEntry) -> str:
-        """Return the scheduler's name for the class that a journal entry was accepted under."""
-        classes = self._context.classes
-        message_class = accepted_class(self._journal.class_tables, entry)
-        if message_class is None or message_class == classes.get(entry.class_name):
-            return entry.class_name
-        # No class of the platform has a line feed in its name.
-        name = f"{entry.class_name}\n{entry.class_table}"
-        classes[name] = message_class
-        return name
-
 
 def _encode_classes(classes: Mapping[str, api.MessageClass]) -> bytes:
     return json.dumps([message_class_to_json(message_class) for message_class in classes.values()]).encode()
--- a/winchspan/delivery/recovery.py
+++ b/winchspan/delivery/recovery.py
@@ -93,7 +93,7 @@
     def _recover_entry(
         self, entry: JournalEntry, admission: Admission, now: float, journal_now_ms: float
     ) -> None:
-        class_name = self._reconfiguration.class_name_of(entry)
+        class_name = self._context.class_name_of(entry)
         remaining_ms = self._remaining_ms(entry, class_name, journal_now_ms)
         message = self._add_message(entry, now + remaining_ms)
         event = self._recovered_event(entry, class_name, remaining_ms, journal_now_ms)
@@ -111,7 +111,7 @@
         now = self._clock.now()
         journal_now_ms = self._clock.persistent_unix_ms()
         for entry in entries:
-            class_name = self._reconfiguration.class_name_of(entry)
+            class_name = self._context.class_name_of(entry)
             if entry.id in self._table:
                 self._journal.record_completed([entry.number])
                 continue
