--- a/tests/test_replication_claims.py
+++ b/tests/test_replication_claims.py
@@ -160,3 +160,16 @@
     assert len(claims) == 1, "taken over once more, from the successor"
     claims.complete(10.0, taken_over_name("n2", 9), 9, "a", None)
     assert claims.pop_unblocked() == [1] and len(claims) == 0
+
+
+# Guards against a returning courier of an earlier version, which claims what was taken over from it as its
+# own and then announces the end.
+def test_completion_of_a_claim_with_priority_leaves_the_claims_of_a_takeover():
+    claims = ClaimTable()
+    name = taken_over_name("n1", 6)
+    claims.add_claims(0.0, name, 6, [Claim("a", FIRST_KEYS, 1_000.0)])
+    claims.add_claims(0.0, "!n1", 1, [Claim("a", FIRST_KEYS, 1_000.0)])
+    claims.complete(10.0, "!n1", 1, "a", None)
+    assert claims.wait_if_claimed(1, FIRST_KEYS)
+    claims.complete(10.0, name, 6, "a", None)
+    assert claims.pop_unblocked() == [1]
--- a/winchspan/cluster/claim_service.py
+++ b/winchspan/cluster/claim_service.py
@@ -20,6 +20,7 @@
 )
 from winchspan.cluster.node import ClusterNode, DeliveryResources
 from winchspan.replication.claims import (
+    PRIORITY_PREFIX,
     TOKEN_PREFIX,
     Claim,
     ClaimTable,
@@ -34,10 +35,7 @@
 from winchspan.storage.journal_records import JournalEntry
 
 MAX_CLAIMS_PER_FRAME: Final = 256
-# Prefix of a courier's name for claims on its own messages of a claimed token. It sorts before all names, so
-# that these messages go before those that were taken over.
-PRIORITY_PREFIX: Final = "!"
-PRIORITY_EPOCH: Final = 1  # of all claims under such a name
+PRIORITY_EPOCH: Final = 1  # of all claims with priority
 # Limit of the tokens for which this courier stores an attempt that may have executed its message. The oldest
 # token is evicted first.
 MAX_TRACKED_TOKENS: Final = 1_024
--- a/winchspan/replication/claims.py
+++ b/winchspan/replication/claims.py
@@ -27,6 +27,9 @@
 TOKEN_PREFIX: Final = b"t"  # first byte of a lock key for an idempotency token
 # After the deadline of a claimed message: its notification is sent by then (PROTOCOL, the rules).
 EXPIRY_MARGIN_MS: Final = 300.0
+# Prefix of a courier's name for claims on its own messages of a claimed token. It sorts before all names, so
+# that these messages go before those that were taken over.
+PRIORITY_PREFIX: Final = "!"
 TAKEOVER_SEPARATOR: Final = (
     "@"  # between owner and epoch in the name of taken-over claims; in no owner's name
 )
@@ -152,11 +155,18 @@
     def complete(
         self, now: float, owner: str, epoch: int, message_id: str, attempt: EarlierAttempt | None
     ) -> None:
-        """Remove the claim of a completed message, and record the attempt that may have executed it."""
+        """Remove the claim of a completed message, and record the attempt that may have executed it.
+
+        A message may have been taken over more than once, so that all claims of it end. A claim with priority
+        ends alone: a courier of an earlier version announces the end of those that it discards after a
+        takeover.
+        """
         journal = self._journals.get(owner)
         if journal is not None and epoch < journal.epoch:
             return
-        for other in list(self._journals):  # a message may have been taken over more than once
+        for other in [owner] if owner.startswith(PRIORITY_PREFIX) else list(self._journals):
+            if other not in self._journals:
+                continue
             for lock_key in self._remove_claim(other, message_id):
                 if attempt is not None:
                     self.record_attempt(now, lock_key, attempt)
