A takeover has room at its successor, so that no message waits for it

Room for attempts was kept for messages that need no further one.

Change: new messages leave 28% of a replica for those of another courier; of these, as many get their final answer at once as is necessary, those with the least time first. A takeover that does not fit is tried each 0.5 s, where it wrote and ended entries each 50 ms.

--- a/tests/test_replica_store.py
+++ b/tests/test_replica_store.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -237,6 +238,9 @@
             batch = rng.sample(numbers, min(len(numbers), rng.randint(1, 10)))
             assert owner.journal.record_attempt_started(batch, "s-1" * 8, "zone-a", 1e12 + step)
             owner.journal.record_attempt_ended(batch, may_have_executed=rng.random() < 0.5)
+            taken_over = replace(owner.journal.open_messages[0], in_flight_since_ms=None, number=0)
+            if rng.random() < 0.2 and (number := owner.journal.take_over(taken_over, "n9", step)):
+                numbers.append(number)
         assert owner.replicate(), step
         if numbers and rng.random() < 0.1:
             ended = numbers.pop(rng.randrange(len(numbers)))
@@ -302,3 +306,16 @@
     assert replica.append(3, 1, tuple(owner.written))
     (entry,) = replica.open_messages
     assert replica.class_tables[entry.class_table] == [{"name": "order-payment", "effect": "own"}]
+
+
+# Guards against growth that is reserved for messages that have had their final answer: a takeover that could
+# give all messages theirs waited for room.
+def test_completed_messages_need_no_capacity_for_attempts(owner: OwnerJournal):
+    capacity_bytes = owner.taken_over_capacity_bytes()
+    number = owner.accept_one(1)
+    accepted_bytes = capacity_bytes - owner.taken_over_capacity_bytes()
+    owner.record_notification_pending(number, "returned", 500)
+    completed_bytes = capacity_bytes - owner.taken_over_capacity_bytes()
+    assert 0 < completed_bytes < accepted_bytes - 200
+    owner.record_completed([number])
+    assert owner.taken_over_capacity_bytes() == capacity_bytes
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -25,7 +25,11 @@
 )
 from winchspan.fakes.fleet import Fleet, ProcessFleetOptions
 from winchspan.fakes.fleet_courier import wait_for
-from winchspan.fakes.recording_endpoints import FinalAnswer, ThreadedRecordingEndpoints
+from winchspan.fakes.recording_endpoints import (
+    FinalAnswer,
+    RecordingEndpoints,
+    ThreadedRecordingEndpoints,
+)
 from winchspan.simulation.cluster import EmulatedFleet
 
 from .fleet_helpers import (
@@ -379,6 +383,23 @@
     assert report.audit.violations == {} and report.taken_over_count > 0
 
 
+# A takeover begins 2.5 s behind the last sign of its courier and takes 0.3 s at most here.
+TAKEOVER_SECONDS = 2.8
+LATE_SECONDS = 0.3  # from a message's deadline to the latest allowed final answer
+
+
+def late_messages(endpoints: RecordingEndpoints, load: ClientLoad, taken_over_from: str) -> list[str]:
+    """Return the messages whose final answer came later than allowed, or than a takeover allows."""
+    late = []
+    for message_id, message in load.accepted.items():
+        is_taken_over = message.courier == taken_over_from
+        allowed_seconds = LATE_SECONDS + (TAKEOVER_SECONDS if is_taken_over else 0.0)
+        answered_at = endpoints.final_answer_seconds.get(message_id, float("inf"))
+        if answered_at > message.deadline_at_seconds + allowed_seconds:
+            late.append(str(message))
+    return late
+
+
 def play_with_replicas_near_their_quota(
     directory: Path, seed: int, failure: Callable[[EmulatedFleet], None]
 ) -> dict[str, list[str]]:
@@ -401,6 +422,7 @@
         fleet.wait_until("all clients have ended", clients.done)
         fleet.run(30.0)
         assert len(load.accepted) > 200
+        assert late_messages(fleet.endpoints, load, "n1") == []
         return audit_deliveries(fleet.endpoints, load).violations
     finally:
         fleet.close()
@@ -411,7 +433,8 @@
 
 
 # Guards against replicas that messages fill until no record of their ends fits (review, case 6), and against
-# a takeover that has no room at its successor at first: it skipped the messages when it was tried again.
+# a takeover that has no room at its successor at first: it skipped the messages when it was tried again, or
+# waited for seconds until the successor's own messages had ended.
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize("failure", [lambda fleet: None, kill_for_good], ids=["all stay", "one is lost"])
 def test_fleet_with_replicas_near_their_quota_ends_every_message(
--- a/winchspan/cluster/takeover_service.py
+++ b/winchspan/cluster/takeover_service.py
@@ -15,14 +15,16 @@
 from winchspan.cluster.node import ClusterNode, DeliveryResources
 from winchspan.cluster.replica_holder import ReplicaHolder
 from winchspan.cluster.replication_counters import ReplicationCounters
+from winchspan.cluster.takeover_capacity import fit_entries, may_have_run
 from winchspan.delivery.engine import DeliveryEngine
-from winchspan.delivery.messages import STATE_FAILED, STATE_RETURNED
 from winchspan.leases.commands import JOURNAL_ROLE_PREFIX, TakeoverCompleted, journal_role
 from winchspan.replication.placement import is_takeover_incomplete
 from winchspan.storage.journal_records import JournalEntry
 
 RETRY_INTERVAL_MS: Final = 200.0  # between two requests to the members or to the leader
 
+CAPACITY_RETRY_INTERVAL_MS: Final = 500.0  # each try writes entries, and ends them if they do not all fit
+
 WhenReplicated = Callable[[Callable[[], None], Callable[[], None]], None]
 
 
@@ -38,6 +40,7 @@
         entries: open messages that are written to this courier's journal.
         offline_endpoints: endpoints that an operator had taken offline at the owner.
         is_delayed: whether this courier's journal has had no capacity for the entries.
+        next_try_ms: time from which on the entries may be written again.
         is_journaled: whether all entries are in this courier's journal.
         is_replicated: whether all entries are replicated, too.
     """
@@ -49,6 +52,7 @@
     entries: list[JournalEntry] = field(default_factory=list)
     offline_endpoints: list[str] = field(default_factory=list)
     is_delayed: bool = False
+    next_try_ms: float = 0.0
     is_journaled: bool = False
     is_replicated: bool = False
 
@@ -150,6 +154,8 @@
                 takeover.last_request_ms = now
                 self._bus.broadcast(EpochPromiseRequested(owner, takeover.epoch))
             return
+        if not takeover.is_journaled and now < takeover.next_try_ms:
+            return
         if not takeover.is_journaled and not self._journal_entries(owner, takeover):
             return
         if takeover.is_replicated and now >= takeover.last_request_ms + RETRY_INTERVAL_MS:
@@ -168,22 +174,25 @@
         A message for which there is no capacity is completed: its final answer needs no body.
         """
         store = self._ports.holder.store
-        for replica_entry in store.open_messages(owner):
-            origin = replica_entry.origin
-            if replica_entry.redelivery_of or is_takeover_incomplete(origin, self._leases.table):
-                continue  # the owner's archive stores it, or the owner never owned it
-            entry = replace(replica_entry)  # the replica's own stays as it is, for another attempt
-            if not self._journal_entry(entry, owner, takeover.epoch):
-                self._delay(owner, takeover)
-                return False
-            takeover.entries.append(entry)
+        table = self._leases.table
+        # The replica's own entries stay as they are, for another attempt.
+        entries = [
+            replace(entry)
+            for entry in store.open_messages(owner)
+            # The owner's archive stores a redelivery; what the owner had not taken over yet is not its own.
+            if not entry.redelivery_of and not is_takeover_incomplete(entry.origin, table)
+        ]
+        are_fitted = fit_entries(entries, self._delivery.journal.taken_over_capacity_bytes())
+        if not are_fitted or not all(self._journal_entry(entry, owner, takeover) for entry in entries):
+            self._delay(owner, takeover)
+            return False
         replica = store.replica(owner)
         takeover.offline_endpoints = list(replica.disabled_endpoints) if replica is not None else []
         takeover.is_journaled = True
         self._ports.when_replicated(lambda: _mark_replicated(takeover), lambda: None)
         return True
 
-    def _journal_entry(self, entry: JournalEntry, owner: str, epoch: int) -> bool:
+    def _journal_entry(self, entry: JournalEntry, owner: str, takeover: Takeover) -> bool:
         """Write an entry with the class that its owner accepted it under; return False if it does not fit."""
         journal = self._delivery.journal
         rows = self._ports.holder.store.class_tables(owner).get(entry.class_table)
@@ -191,16 +200,17 @@
         if class_table is None:
             return False
         entry.class_table = class_table
-        if journal.take_over(entry, owner, epoch) is not None:
-            return True
-        outcome = STATE_FAILED if _may_have_run(entry) else STATE_RETURNED
-        return journal.take_over_completed(entry, owner, epoch, outcome) is not None
+        if journal.take_over(entry, owner, takeover.epoch) is None:
+            return False
+        takeover.entries.append(entry)
+        return True
 
     def _delay(self, owner: str, takeover: Takeover) -> None:
         """Retry a takeover for which there is no capacity; no new message is admitted until then."""
         if not takeover.is_delayed:
             logger.error("takeover: no capacity for the messages of {} yet", owner)
         takeover.is_delayed = True
+        takeover.next_try_ms = self._node.now_ms() + CAPACITY_RETRY_INTERVAL_MS
         self._discard_entries(takeover)
 
     def _discard_entries(self, takeover: Takeover) -> None:
@@ -214,7 +224,7 @@
         """Resume the messages of a journal whose takeover by this courier is committed."""
         del self._takeovers[owner]
         entries = takeover.entries
-        executed_count = sum(map(_may_have_run, entries))
+        executed_count = sum(map(may_have_run, entries))
         logger.info(
             "takeover: completed, {} messages of {}, {} of which may have run",
             len(entries),
@@ -253,9 +263,5 @@
             takeover.promised_by.add(sender)
 
 
-def _may_have_run(entry: JournalEntry) -> bool:
-    return entry.in_flight_since_ms is not None or entry.first_executed_at_ms is not None
-
-
 def _mark_replicated(takeover: Takeover) -> None:
     takeover.is_replicated = True
--- a/winchspan/fakes/recording_endpoints.py
+++ b/winchspan/fakes/recording_endpoints.py
@@ -92,6 +92,7 @@
         read_notification_counts: number of received notifications, by message id.
         notification_counts: number of acknowledged notifications, by message id.
         first_final_answers: first final answer, by message id.
+        final_answer_seconds: clock reading of it, by message id.
         concurrent_message_ids: ids of messages that were in two calls at the same time.
         concurrent_tokens: tokens that were in two calls at the same time, under any message ids.
         max_messages_per_call: maximum over the calls that were held or took time.
@@ -123,6 +124,7 @@
         self.read_notification_counts: Counter[str] = Counter()
         self.notification_counts: Counter[str] = Counter()
         self.first_final_answers: dict[str, FinalAnswer] = {}
+        self.final_answer_seconds: dict[str, float] = {}
         self.concurrent_message_ids: list[str] = []
         self.concurrent_tokens: list[str] = []
         self.max_messages_per_call = 0
@@ -214,9 +216,13 @@
                 return  # the courier has closed the connection, and would not get the acknowledgement
             for message_id in message_ids:
                 self.notification_counts[message_id] += 1
-                self.first_final_answers.setdefault(message_id, FinalAnswer.NOTIFIED)
+                self._record_final_answer(message_id, FinalAnswer.NOTIFIED)
             writer.write(answer(204))
 
+    def _record_final_answer(self, message_id: str, final_answer: FinalAnswer) -> None:
+        self.first_final_answers.setdefault(message_id, final_answer)
+        self.final_answer_seconds.setdefault(message_id, self._clock())
+
     # ---- calls -------------------------------------------------------------------------------------------
     async def _serve_calls(
         self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -279,7 +285,7 @@
         for message_id, _ in messages:
             self.delivery_counts[message_id] += 1
             self.first_delivered_at_seconds.setdefault(message_id, self._clock())
-            self.first_final_answers.setdefault(message_id, FinalAnswer.DELIVERED)
+            self._record_final_answer(message_id, FinalAnswer.DELIVERED)
         body = json.dumps([{"id": message.message_id, "state": "ok"} for message in messages]).encode()
         return answer(response.status, body if request.path == "/hook/batch" else b"", response.headers)
 
--- a/winchspan/replication/replica_store.py
+++ b/winchspan/replication/replica_store.py
@@ -17,7 +17,6 @@
 import json
 import re
 import shutil
-from dataclasses import replace
 from pathlib import Path
 from typing import Any, Final
 
@@ -27,11 +26,13 @@
 from winchspan.runtime.system import Disk
 from winchspan.storage.errors import StorageError
 from winchspan.storage.journal_records import JournalEntry, decode_journal_record
+from winchspan.storage.journal_state import JournalState
 from winchspan.storage.message_log import MessageLog
 from winchspan.storage.record_file import Record, encode_record, iterate_records
 
 _OWNER_NAME: Final = re.compile(r"[0-9A-Za-z_-]{1,64}")  # used as a directory name
 _RESERVED_KINDS: Final = ("file", "whole", "copy", "promise")  # kinds that an owner must not send
+_FILE_OVERHEAD_BYTES: Final = 1024  # of a compacted file beside the owner's records
 _MAX_SHOWN_BYTES: Final = 40  # of an invalid record in an error message
 
 
@@ -137,7 +138,8 @@
         parsed = parse_records(items)
         if self._write_contents(parsed, epoch, last_index):
             return True
-        if sum(map(len, items)) > self._quota.usable_bytes or not self._discard_records():
+        snapshot_bytes = sum(map(len, items)) + _FILE_OVERHEAD_BYTES
+        if snapshot_bytes > self._quota.usable_bytes or not self._discard_records():
             return False
         return self._write_contents(parsed, epoch, last_index)
 
@@ -146,7 +148,7 @@
     ) -> bool:
         """Write a file with other records; return False, and change nothing, if it cannot be written."""
         previous = (self._state, self._epoch, self._last_index)
-        self._state = replace(self._state, messages={}, live_bytes=0, class_tables={}, disabled_endpoints=[])
+        self._state = JournalState()
         self._apply_all(parsed)
         self._epoch = epoch
         self._last_index = last_index
--- a/winchspan/storage/journal.py
+++ b/winchspan/storage/journal.py
@@ -38,9 +38,9 @@
     WorkEpochStarted,
     WorkOrigin,
 )
-from winchspan.storage.journal_state import MAX_MESSAGE_GROWTH_BYTES
+from winchspan.storage.journal_state import growth_bytes
 from winchspan.storage.message_log import MessageLog
-from winchspan.storage.quota import StorageQuota
+from winchspan.storage.quota import TAKEOVER_RESERVE_SHARE, StorageQuota
 
 _MIN_LOGGED_CLOCK_STEP_MS: Final = 1_000.0
 
@@ -60,7 +60,7 @@
         Args:
             replica_limit_bytes: size limit of this journal's replica on another courier.
         """
-        self._replica_quota = StorageQuota(replica_limit_bytes)
+        self._replica_quota = StorageQuota(replica_limit_bytes, TAKEOVER_RESERVE_SHARE)
 
     @property
     def last_attempt_at_ms(self) -> float:
@@ -166,6 +166,11 @@
         state.class_tables[number] = rows
         return number
 
+    def taken_over_capacity_bytes(self) -> float:
+        """Return the capacity for messages that are taken over, here and in each replica."""
+        committed_bytes = self._state.committed_bytes
+        return min(quota.taken_over_capacity_bytes(committed_bytes) for quota in self._quotas())
+
     def take_over(self, entry: JournalEntry, owner: str, epoch: int) -> int | None:
         """Record an open message that is taken over from another courier.
 
@@ -178,35 +183,13 @@
         Returns:
             Its number here, or None if there is no capacity for it.
         """
-        self._prepare_taken_over(entry, owner, epoch)
-        return entry.number if self._add(entry) else None
-
-    def take_over_completed(self, entry: JournalEntry, owner: str, epoch: int, outcome: str) -> int | None:
-        """Record the final answer of another courier's open message, for which there is no capacity here.
-
-        Args:
-            entry: the message's entry in the replica; it becomes an entry of this journal, without its body.
-            owner: the courier that it is taken over from.
-            epoch: the epoch of the takeover.
-            outcome: the outcome to notify the platform of.
-
-        Returns:
-            Its number here, or None if there is no capacity for that either.
-        """
-        entry.body = b""
-        entry.pending_notification = entry.pending_notification or outcome
-        self._prepare_taken_over(entry, owner, epoch)
-        data = MessageAccepted(entry).encode()
-        committed_bytes = self._state.committed_bytes
-        quotas = self._quotas()
-        if not all(quota.accepts_completed_message(committed_bytes, len(data)) for quota in quotas):
-            return None
-        return entry.number if self._append_message(entry, data) else None
-
-    def _prepare_taken_over(self, entry: JournalEntry, owner: str, epoch: int) -> None:
         entry.number = self._state.next_number
         entry.origin = WorkOrigin(owner, epoch)
         entry.size_bytes = 0
+        data = MessageAccepted(entry).encode()
+        if len(data) + growth_bytes(entry) > self.taken_over_capacity_bytes():
+            return None
+        return entry.number if self._append_message(entry, data) else None
 
     def record_attempt_started(self, numbers: list[int], endpoint: str, zone: str, at_ms: float) -> bool:
         """Record an attempt that carries some messages, before its first byte is sent.
@@ -309,7 +292,7 @@
 
     def _add(self, entry: JournalEntry) -> bool:
         data = MessageAccepted(entry).encode()
-        if not self._has_capacity(len(data) + MAX_MESSAGE_GROWTH_BYTES):
+        if not self._has_capacity(len(data) + growth_bytes(entry)):
             return False
         return self._append_message(entry, data)
 
--- a/winchspan/storage/journal_state.py
+++ b/winchspan/storage/journal_state.py
@@ -33,12 +33,18 @@
 _HEALTHY: Final = "healthy"
 
 
+def growth_bytes(entry: JournalEntry) -> int:
+    """Return an upper bound on what an entry's record grows by until the message is completed."""
+    return MAX_MESSAGE_GROWTH_BYTES if entry.pending_notification is None else 0
+
+
 @dataclass(slots=True)
 class JournalState:
     """The open messages, the size of a compacted file with them, and the journal's settings."""
 
     messages: dict[int, JournalEntry] = field(default_factory=dict)  # by number
     live_bytes: int = 0  # size of a compacted file
+    undecided_count: int = 0  # open messages without a final answer: only their records still grow
     next_number: int = 1
     class_tables: dict[int, list[dict[str, Any]]] = field(default_factory=dict)  # by number
     current_class_table: int = 0  # 0 if none is defined
@@ -95,11 +101,12 @@
     @property
     def committed_bytes(self) -> int:
         """Upper bound on the size of a compacted file until the last open message is completed."""
-        return self.live_bytes + len(self.messages) * MAX_MESSAGE_GROWTH_BYTES
+        return self.live_bytes + self.undecided_count * MAX_MESSAGE_GROWTH_BYTES
 
     def add_message(self, entry: JournalEntry, record_bytes: int) -> None:
         """Add an open message whose record has a size of `record_bytes`."""
         self.messages[entry.number] = entry
+        self.undecided_count += entry.pending_notification is None
         self._resize(entry, record_bytes)
         self.next_number = max(self.next_number, entry.number + 1)
 
@@ -137,6 +144,7 @@
             if record.failure_history:
                 added_bytes += len(json.dumps(record.failure_history)) + _HISTORY_KEY_BYTES
             self._resize(entry, entry.size_bytes + added_bytes)
+            self.undecided_count -= 1
         entry.pending_notification = record.outcome
         entry.retry_after_ms = record.retry_after_ms
         entry.failure_history = record.failure_history
@@ -147,6 +155,7 @@
             entry = self.messages.pop(number, None)
             if entry is not None:
                 self.live_bytes -= entry.size_bytes
+                self.undecided_count -= entry.pending_notification is None
 
     def used_class_tables(self) -> set[int]:
         """Return the numbers of the class tables that open messages refer to, and of the current one."""
--- a/winchspan/storage/quota.py
+++ b/winchspan/storage/quota.py
@@ -9,7 +9,10 @@
 
 _USABLE_SHARE: Final = 0.95  # share of the limit; files occupy whole blocks of 512 bytes
 _ACCEPT_SHARE: Final = 0.80  # share for accepting messages; the rest is for their attempts and completions
-_ACCEPT_COMPLETED_SHARE: Final = 0.88  # share for messages of which only the notification is outstanding
+_TAKEOVER_SHARE: Final = 0.88  # the same with messages that were taken over
+TAKEOVER_RESERVE_SHARE: Final = (
+    0.28  # share that new messages leave in a replica for those of another courier
+)
 _MIN_GARBAGE_BYTES: Final = 64 * 1024  # less garbage does not cause a compaction
 
 
@@ -21,11 +24,17 @@
         usable_bytes: upper bound on the total size of the files, a margin below the limit.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, reserved_share: float = 0.0) -> None:
+        """Create a quota.
+
+        Args:
+            limit_bytes: the limit.
+            reserved_share: share of the limit that new messages leave for a takeover.
+        """
         self.limit_bytes = limit_bytes
         self.usable_bytes = limit_bytes * _USABLE_SHARE
-        self._acceptable_bytes = limit_bytes * _ACCEPT_SHARE
-        self._acceptable_completed_bytes = limit_bytes * _ACCEPT_COMPLETED_SHARE
+        self._acceptable_bytes = limit_bytes * (_ACCEPT_SHARE - reserved_share)
+        self._takeover_bytes = limit_bytes * _TAKEOVER_SHARE
 
     def accepts_message(self, live_bytes: int, record_bytes: int) -> bool:
         """Return whether there is capacity for another message beside the open ones.
@@ -38,12 +47,9 @@
         """
         return 2 * live_bytes + 2 * record_bytes <= self._acceptable_bytes
 
-    def accepts_completed_message(self, live_bytes: int, record_bytes: int) -> bool:
-        """Return whether there is capacity for a message of which only the notification is outstanding.
-
-        It may use what is reserved for the attempts of others, as it has none itself.
-        """
-        return 2 * live_bytes + 2 * record_bytes <= self._acceptable_completed_bytes
+    def taken_over_capacity_bytes(self, live_bytes: int) -> float:
+        """Return the capacity for messages that are taken over, beside the open ones; may be negative."""
+        return self._takeover_bytes / 2 - live_bytes
 
     def needs_compaction(self, file_bytes: int, live_bytes: int, record_bytes: int) -> bool:
         """Return whether a file must be compacted before a record is appended."""
