Complete requests are answered whatever memory incomplete ones need

Callers would have seen: a client whose complete requests wait for their cycle, or whose reply waits for replication, gets one -BUSY for all of them while others press on memory; a message could be accepted and rejected at once.

Cause: the limit on incomplete requests rejected every connection with received bytes.

Change: only connections that wait for the rest of a request are rejected; before them those end whose clients read no replies.

--- a/tests/test_net_client_listener.py
+++ b/tests/test_net_client_listener.py
@@ -204,3 +204,24 @@
     for connection, _ in clients:
         connection.connection_lost(None)
     assert connections._receive_buffer_bytes == 0
+
+
+# Guards against the eviction of a connection whose complete requests still wait: they got no answer.
+def test_complete_requests_are_answered_whatever_memory_incomplete_ones_need():
+    connections, clock, timers = client_connections(FakeIntake(), socket_limit=20, connection_limit=20)
+    connections._max_receive_buffer_bytes = 20_000
+    waiting, waiting_transport = connect(connections)
+    feed(waiting, PING * 1_500)  # sixteen are answered, the others wait for the next cycle
+    unread, unread_transport = connect(connections)
+    feed(unread, b"*2\r\n$4\r\nPING\r\n$12000\r\n" + b"x" * 11_000)
+    unread.pause_writing()
+    clock.advance(10.0)
+    late, late_transport = connect(connections)
+    feed(late, b"*2\r\n$4\r\nPING\r\n$30000\r\n" + b"x" * 20_000)
+    assert unread_transport.is_closing(), "its client reads nothing"
+    assert b"-BUSY" not in bytes(waiting_transport.written) and not waiting_transport.is_closing()
+    for _ in range(100):
+        timers.run_due()
+        clock.advance(1.0)
+    assert bytes(waiting_transport.written).count(b"+PONG") == 1_500
+    assert b"-BUSY" in bytes(late_transport.written)
--- a/winchspan/net/client_connection.py
+++ b/winchspan/net/client_connection.py
@@ -119,8 +119,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Withdraw the messages whose reply has not been fully sent."""
         self._registry.remove(self)
-        self._receive_buffer.clear()
-        self._count_receive_buffer()
+        self.release_receive_buffer()
         for handle in self._unsent_handles:
             self._registry.intake.withdraw(handle)
         self._unsent_handles.clear()
@@ -133,6 +132,11 @@
         self._count_receive_buffer()
         return super().get_buffer(sizehint)  # this connection may have been evicted
 
+    def release_receive_buffer(self) -> None:
+        """Discard the received bytes and the memory for them, since no request will be read any more."""
+        self._receive_buffer.clear()
+        self._count_receive_buffer()
+
     def _count_receive_buffer(self) -> None:
         """Have the registry count what the receive buffer has grown or shrunk by."""
         added_bytes = self._receive_buffer.extra_bytes - self._counted_buffer_bytes
@@ -280,9 +284,19 @@
         return len(self._receive_buffer) > 0 or self._requests.has_partial_request
 
     @property
-    def has_grown_buffer(self) -> bool:
-        """Whether an incomplete request occupies memory beyond the smallest buffer."""
-        return self._counted_buffer_bytes > 0 and self._shut_down_at_ms is None and self.has_partial_request
+    def has_large_partial_request(self) -> bool:
+        """Whether it waits for the rest of a request that occupies more than the smallest buffer.
+
+        It does not if complete requests wait in the buffer, or a reply: those have to be answered themselves.
+        """
+        if self._is_resume_due or self._is_write_blocked or self._shut_down_at_ms is not None:
+            return False
+        return self._counted_buffer_bytes > 0 and self.has_partial_request
+
+    @property
+    def has_unread_replies(self) -> bool:
+        """Whether its client does not read replies, while received bytes occupy a large buffer."""
+        return self._counted_buffer_bytes > 0 and self._is_write_blocked
 
     @property
     def active_since_ms(self) -> float:
@@ -339,8 +353,7 @@
         """Close it to make room for waiting clients; an incomplete request gets a `BUSY` reply."""
         if self.has_partial_request:
             self.close(resp.error_reply("BUSY"))
-            self._receive_buffer.clear()
-            self._count_receive_buffer()
+            self.release_receive_buffer()
         elif self._transport is not None and not self.has_unread_bytes:
             self._transport.close()
 
--- a/winchspan/net/client_listener.py
+++ b/winchspan/net/client_listener.py
@@ -289,19 +289,31 @@
         """Count memory for incomplete requests, and reject the slowest of them beyond the limit.
 
         The requests that have been incomplete for longest are rejected first: a client that sends its
-        request in one piece is among the last.
+        request in one piece is among the last. Before them the connections end whose clients read no replies.
         """
         self._receive_buffer_bytes += added_bytes
         if added_bytes <= 0 or self._receive_buffer_bytes <= self._max_receive_buffer_bytes:
             return
-        target_bytes = RECEIVE_BUFFER_TARGET * self._max_receive_buffer_bytes
-        slowest = [connection for connection in self._connections if connection.has_grown_buffer]
-        slowest.sort(key=lambda connection: connection.active_since_ms)
-        for count, connection in enumerate(slowest):
-            if self._receive_buffer_bytes <= target_bytes:
-                logger.info("client connections: rejected {} incomplete requests, for lack of memory", count)
+        for connection in self._by_activity(lambda each: each.has_unread_replies):
+            if self._has_receive_memory():
                 return
+            connection.abort()
+            connection.release_receive_buffer()
+        count = 0
+        for connection in self._by_activity(lambda each: each.has_large_partial_request):
+            if self._has_receive_memory():
+                break
             connection.evict()
+            count += 1
+        logger.info("client connections: rejected {} incomplete requests, for lack of memory", count)
+
+    def _has_receive_memory(self) -> bool:
+        return self._receive_buffer_bytes <= RECEIVE_BUFFER_TARGET * self._max_receive_buffer_bytes
+
+    def _by_activity(self, is_selected: Callable[[ClientConnection], bool]) -> list[ClientConnection]:
+        """Return the selected connections, the one that has been active least recently first."""
+        selected = [connection for connection in self._connections if is_selected(connection)]
+        return sorted(selected, key=lambda connection: connection.active_since_ms)
 
     # ---- draining and shutdown ---------------------------------------------------------------------------
     @property
