--- a/tests/regressions/notice-told-again.sexp
+++ b/tests/regressions/notice-told-again.sexp
@@ -9,5 +9,5 @@
 (trouble "1" (what drain) (source "n0") (target "") (at 3.13) (lasts 2.035))
 (trouble "2" (what vanish) (source "n1") (target "") (at 3.337) (lasts 1.096))
 (trouble "3" (what offline) (source "n0") (target "partner 8") (at 7.672) (lasts 4.368))
-(trouble "4" (what upgrade) (source "n0") (target "") (at 19.426) (lasts 0.0))
+(trouble "4" (what upgrade) (source "n0") (target "") (at 19.442) (lasts 0.0))
 
