Reject a long list of names by its length, before it takes memory

Cause: such a list was read whole, up to 64 KiB, and then rejected. A hundred such clients used up the memory for incomplete requests, and the slowest of them were evicted.

Change: only the last word of a request, a message's body, may be longer than 1 KiB. The length alone is enough to reject the request. The test of requests that are too long in all uses words within this limit now, and a new case states it.

--- a/tests/test_net_resp.py
+++ b/tests/test_net_resp.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from winchspan.net.resp import MAX_BULK_BYTES, RequestParser, RespProtocolError
+from winchspan.net.resp import MAX_BULK_BYTES, MAX_LEADING_WORD_BYTES, RequestParser, RespProtocolError
 
 
 def encode(words: list[bytes]) -> bytes:
@@ -40,7 +40,15 @@
     with pytest.raises(RespProtocolError, match="bytes"):
         parse([b"*1\r\n$%d\r\n" % (MAX_BULK_BYTES + 1)])
     with pytest.raises(RespProtocolError, match="too long"):
-        parse([encode([b"x" * MAX_BULK_BYTES, b"y" * 8192])])
+        parse([encode([*[b"x" * MAX_LEADING_WORD_BYTES] * 5, b"y" * MAX_BULK_BYTES])])
+
+
+# Guards against large words in the memory of clients that are owed an error: the length is enough to reject.
+def test_request_parser_leading_word_beyond_its_limit_rejected_before_it_arrives():
+    largest = [b"x" * MAX_LEADING_WORD_BYTES, b"body"]
+    assert parse([encode(largest)]) == [largest]
+    with pytest.raises(RespProtocolError, match="bytes"):
+        parse([b"*2\r\n$%d\r\n" % (MAX_LEADING_WORD_BYTES + 1)])
 
 
 @pytest.mark.parametrize(
--- a/winchspan/net/resp.py
+++ b/winchspan/net/resp.py
@@ -4,6 +4,7 @@
 
 MAX_WORDS = 16
 MAX_BULK_BYTES = 64 * 1024
+MAX_LEADING_WORD_BYTES = 1024  # of each word but the last one, which may be a message's body
 MAX_REQUEST_BYTES = MAX_BULK_BYTES + 4 * 1024
 _MAX_LENGTH_DIGITS = 12  # of a length line, a sign included
 
@@ -33,6 +34,14 @@
         """Whether part of a request has been parsed."""
         return self._parsed_bytes > 0
 
+    @property
+    def _max_word_bytes(self) -> int:
+        """Greatest length of the next word.
+
+        A long list of names is rejected by its length: it costs neither memory nor the time to parse it.
+        """
+        return MAX_BULK_BYTES if self._remaining_words == 1 else MAX_LEADING_WORD_BYTES
+
     def next_request(self, buffer: bytearray, start: int, end: int) -> tuple[list[bytes], int] | None:
         """Return the words of the request at `start` and its end position, or None while it is incomplete."""
         while self._remaining_words != 0:
@@ -45,7 +54,7 @@
                     if not 1 <= number <= MAX_WORDS:
                         raise RespProtocolError(f"a request of {number} words")
                     self._remaining_words = number
-                elif not 0 <= number <= MAX_BULK_BYTES:
+                elif not 0 <= number <= self._max_word_bytes:
                     raise RespProtocolError(f"a word of {number} bytes")
                 else:
                     self._word_bytes = number
--- a/winchspan/net/submit_request.py
+++ b/winchspan/net/submit_request.py
@@ -12,7 +12,6 @@
 _KEY: Final = re.compile(rb"[0-9a-fA-F]{1,32}")
 _NUMBER: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,6})?")
 _MAX_DESTINATION_DIGITS: Final = 18
-MAX_NAMES_BYTES: Final = 1024  # of the list of names, several times the longest that clients send
 
 
 class MessageIntake(Protocol):
@@ -69,8 +68,6 @@
 
 def _parse_names(names: bytes) -> dict[str, str]:
     """Parse `NAME=VALUE,NAME=VALUE`, and validate the known names; `d` and `dest` are required."""
-    if len(names) > MAX_NAMES_BYTES:  # guards against lists of thousands of names, each of which costs time
-        raise BadRequestError("the list of names is too long")
     values: dict[str, str] = {}
     for item in names.decode("latin-1").split(","):
         name, equals, value = item.partition("=")
