Serve a third of the descriptors at the least memory limit, without TLS

Callers saw: with limits of 32 MB and 1,024 descriptors, the usual clients got no answer while 900 clients stopped half way through requests or wrote slowly. At most 128 clients were served.

Cause: an idle process took 27.5 MiB of 32 MB, 4.2 MiB of it for OpenSSL, which asyncio imports and nothing uses. What was left allowed no more.

Change: the process imports asyncio without TLS; a later import of ssl still works. A third of the descriptors is served at any limit.

--- a/winchspan/__main__.py
+++ b/winchspan/__main__.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from winchspan.runtime.early_reloads import EarlyReloads
+from winchspan.runtime.event_loop_import import import_asyncio_without_tls
 
 if TYPE_CHECKING:
     import asyncio
@@ -62,6 +63,7 @@
     early_reloads = EarlyReloads()
     # Imported modules are never garbage: collecting them takes a tenth of the start.
     gc.disable()
+    import_asyncio_without_tls()
     import os
 
     from winchspan.application.application import ProcessContext
--- a/winchspan/application/capacity.py
+++ b/winchspan/application/capacity.py
@@ -12,11 +12,11 @@
 
 ADMIN_DESCRIPTOR_COUNT: Final = 18  # the listening socket, 16 connections, one being accepted
 OWN_DESCRIPTOR_COUNT: Final = 16  # standard streams, the event loop, the journal, the listening socket
-IDLE_MEMORY_BYTES: Final = 32 * 1024 * 1024  # of a process without clients
+IDLE_MEMORY_BYTES: Final = 32 * 1024 * 1024  # of a process with messages and without clients
 CLIENT_MEMORY_BYTES: Final = 8 * 1024  # of a client connection without an incomplete request
 CLIENT_MEMORY_SHARE: Final = 0.3  # share of the memory beyond the idle process for client connections
 RECEIVE_BUFFER_SHARE: Final = 0.25  # the same for their incomplete requests
-MIN_CLIENT_CONNECTIONS: Final = 128
+MIN_CLIENT_SHARE: Final = 1 / 3  # of the descriptors; clients that mean well hold no more (LATER, "Score")
 MIN_RECEIVE_BUFFER_BYTES: Final = 512 * 1024  # a few requests of the greatest size
 CONSENSUS_STORE_BYTES: Final = 512 * 1024  # maximum size of a consensus store's files (consensus/store.py)
 
@@ -54,7 +54,7 @@
     """
     by_memory = int(CLIENT_MEMORY_SHARE * _client_memory_bytes(max_memory_bytes)) // CLIENT_MEMORY_BYTES
     by_descriptors = max(capacity // 2, capacity - settings.slots - 4)
-    return min(by_descriptors, max(by_memory, MIN_CLIENT_CONNECTIONS))
+    return min(by_descriptors, max(by_memory, int(MIN_CLIENT_SHARE * capacity)))
 
 
 def receive_buffer_bytes(max_memory_bytes: int) -> int:
