A withdrawn message that was delivered or has a key does not run again

Callers would have seen: a client leaves while the attempt of its message is in flight; the id comes again and runs a second time, although the attempt delivered it, or outside the idempotency window of its first attempt.

Cause: a message that was withdrawn left no trace where its class allows repeats, whatever became of its attempt.

Change: a delivery of a withdrawn message is recorded, and the id is answered as delivered. Only what may run any number of times is accepted again.

Evidence: four cases of the two tests fail before and pass.

--- a/tests/test_delivery_ended_messages.py
+++ b/tests/test_delivery_ended_messages.py
@@ -78,7 +78,7 @@
     assert world.sent_ids() == [["a"]]
 
 
-@pytest.mark.parametrize(("class_name", "is_new"), [("safe", True), ("once", False)])
+@pytest.mark.parametrize(("class_name", "is_new"), [("safe", True), ("once", False), ("keyed", False)])
 def test_submit_of_a_message_that_was_withdrawn_in_flight_is_new_only_if_it_may_run_again(
     world: World, class_name: str, is_new: bool
 ):
@@ -93,6 +93,18 @@
         assert world.submit("a", class_name) != DUPLICATE_HANDLE
 
 
+# Guards against a second run of a message whose client has left, and whose delivery was on its way by then.
+@pytest.mark.parametrize("class_name", ["safe", "once", "keyed"])
+def test_submit_of_a_message_that_was_withdrawn_and_delivered_is_no_new_message(
+    world: World, class_name: str
+):
+    world.engine.withdraw(world.submit("a", class_name))
+    world.transport.calls[-1].end(OK)
+    world.run()
+    assert world.submit("a", class_name) == DUPLICATE_HANDLE
+    assert world.sent_ids() == [["a"]]
+
+
 def test_request_older_than_the_retained_identifiers_is_rejected(world: World):
     """Guards against a second run where the identifier was dropped before the request was read."""
     deliver(world, "a")
--- a/winchspan/delivery/attempt_results.py
+++ b/winchspan/delivery/attempt_results.py
@@ -66,7 +66,8 @@
                 self._context.replication.report_delivered(message.id)
             self._record_history(message, attempt, result, ns_to_ms(latency_ns))
             is_final = result.is_final or message.is_completed
-            is_delivered = result.outcome is api.Outcome.DELIVERED and not message.is_completed
+            is_open = not message.is_completed or self._table.is_withdrawn(message)
+            is_delivered = result.outcome is api.Outcome.DELIVERED and is_open
             self._apply_result(message, result, updates)
             self._events.post(
                 api.AttemptCompleted(
--- a/winchspan/delivery/context.py
+++ b/winchspan/delivery/context.py
@@ -142,6 +142,11 @@
         message_class = self.accepted_class_of(message)
         return message_class is None or message_class.effect is api.Effect.ONCE
 
+    def is_idempotent(self, message: AcceptedMessage) -> bool:
+        """Return whether a message may run any number of times; False where its class is not known."""
+        message_class = self.accepted_class_of(message)
+        return message_class is not None and message_class.effect is api.Effect.REPEATABLE
+
     def new_attempt_history(self) -> list[AttemptRecord] | None:
         """Return an empty failure history, or None where none is recorded."""
         return [] if self.stores_dead_letters else None
--- a/winchspan/delivery/intake.py
+++ b/winchspan/delivery/intake.py
@@ -261,7 +261,8 @@
         message = self._table.get(handle)
         if message is None or message.is_completed:
             return
-        may_run_again = not message.attempt_count or not self._context.is_at_most_once(message)
+        # Accepted again, a message would not know when the idempotency window of its earlier attempt ends.
+        may_run_again = not message.attempt_count or self._context.is_idempotent(message)
         self._events.post(api.MessageWithdrawn(message.id))
         self._journal.record_completed([message.journal_number])
         self._context.metrics.count_completed("errored", message.class_name)
--- a/winchspan/delivery/message_table.py
+++ b/winchspan/delivery/message_table.py
@@ -27,7 +27,7 @@
         self.handles_by_id: dict[str, int] = {}
         self.held_count = 0
         self.ended = EndedMessages()
-        self._resubmittable_ids: set[str] = set()  # of withdrawn messages with an attempt in flight
+        self._withdrawn: dict[str, bool] = {}  # by identifier, whether the message may run again
         self.on_completed: Callable[[int], None] = lambda number: None
 
     def __iter__(self) -> Iterator[AcceptedMessage]:
@@ -64,18 +64,25 @@
             self._remove(message, is_delivered=is_delivered)
 
     def withdraw(self, message: AcceptedMessage, *, may_run_again: bool) -> None:
-        """Complete a message whose client has not got a reply, and may submit it again if that is allowed."""
-        if may_run_again:
-            self._resubmittable_ids.add(message.id)
+        """Complete a message whose client has not got a reply.
+
+        Args:
+            message: the message, which may have an attempt in flight.
+            may_run_again: whether it is accepted again if that attempt does not deliver it.
+        """
+        self._withdrawn[message.id] = may_run_again
         self.complete(message)
 
+    def is_withdrawn(self, message: AcceptedMessage) -> bool:
+        """Return whether a message in the table has been withdrawn."""
+        return message.id in self._withdrawn
+
     def _remove(self, message: AcceptedMessage, *, is_delivered: bool) -> None:
         self.messages.remove(message.handle)
         self.handles_by_id.pop(message.id, None)
-        if message.id in self._resubmittable_ids:
-            self._resubmittable_ids.remove(message.id)
-            return
-        self.ended.record(message.id, self._clock.now(), is_delivered=is_delivered)
+        may_run_again = self._withdrawn.pop(message.id, False)
+        if is_delivered or not may_run_again:
+            self.ended.record(message.id, self._clock.now(), is_delivered=is_delivered)
 
     def attempts_in_flight(self) -> dict[int, DeliveryAttempt]:
         """Return each attempt that a message waits for, by its `id()` and in the table's order."""
