A courier of an earlier version that is back leaves the claims of a takeover

Cause: a returning courier of the earlier version ends the claims of the takeover at itself and its like. A returning courier of this version claimed nothing under a later epoch, which cancels the claims of a successor of the earlier one.

Change: the successor announces its claims again when the owner is back, and an owner that knows of the takeover claims nothing.

--- a/winchspan/cluster/claim_service.py
+++ b/winchspan/cluster/claim_service.py
@@ -169,7 +169,7 @@
 
     # ---- received messages -------------------------------------------------------------------------------
     def _on_claims_announced(self, sender: str, message: ClaimsAnnounced) -> None:
-        del sender  # a claim is valid whichever member sends it
+        # A claim is valid whichever member sends it.
         claims = [
             Claim(row.message_id, tuple(row.lock_keys[:MAX_LOCK_KEYS_PER_CLAIM]), row.remaining_ms)
             for row in message.claims
@@ -180,6 +180,8 @@
             self._claim_own_tokens(
                 {lock_key for claim in claims for lock_key in claim.lock_keys if lock_key[:1] == TOKEN_PREFIX}
             )
+        if sender == message.owner:
+            self._renew_taken_over(message.owner)
 
     def _on_possibly_executed(self, sender: str, message: PossiblyExecuted) -> None:
         del sender
@@ -257,6 +259,21 @@
         self._claim_entries(ClaimedJournal(taken_over_name(owner, epoch), epoch), list(entries))
         self._broadcast(ClaimsReleased(owner, epoch))
 
+    def _renew_taken_over(self, owner: str) -> None:
+        """Announce the claims on what was taken over from an owner again, since the owner is back.
+
+        An owner of an earlier version has ended them by then, at itself and at the members of that version.
+        """
+        journals = {
+            journal
+            for journal in self._claimed_entries.values()
+            if journal.owner != owner and claimed_owner(journal.owner) == owner
+        }
+        for journal in journals:
+            numbers = [number for number, claimed in self._claimed_entries.items() if claimed == journal]
+            entries = [entry for number in numbers if (entry := self._delivery.journal.get(number))]
+            self._claim_entries(journal, entries)
+
     def _claim_entries(self, journal: ClaimedJournal, entries: list[JournalEntry]) -> None:
         self._claimed_entries |= {entry.number: journal for entry in entries}
         log = _ClaimedLog(entries, self._delivery.journal.class_tables)
--- a/winchspan/cluster/replication_service.py
+++ b/winchspan/cluster/replication_service.py
@@ -205,11 +205,12 @@
     def _acquire(self, now: float, epoch: int) -> None:
         """Own the journal under a new epoch, without the entries that other couriers own now."""
         journal, table = self._delivery.journal, self._leases.table
-        if (
+        was_taken_over = (
             not self._is_recovered
-            and journal.work_epoch
+            and journal.work_epoch > 0
             and is_taken_over(self._node.name, journal.work_epoch, table)
-        ):
+        )
+        if was_taken_over:
             self._discard_taken_over_entries()
         journal.record_completed(
             [entry.number for entry in journal.open_messages if is_takeover_incomplete(entry.origin, table)]
@@ -220,7 +221,8 @@
         self._last_owned_ms = now
         if not self._is_recovered:
             self._is_recovered = True
-            self._claims.claim(self._node.name, epoch, journal.open_messages)
+            if not was_taken_over:  # claims of nothing would cancel those of an earlier version
+                self._claims.claim(self._node.name, epoch, journal.open_messages)
             self._engine.recover()
 
     def _discard_taken_over_entries(self) -> None:
