A discovery that begins its versions anew is heard after 4 s

Cause: a list is identified by its version alone, and a lower one counts as told by a replica that lags, however long it lasts.

Change: where a discovery tells only older versions for 4 s, the stored version is forgotten and the full list is requested. A replica that catches up before is ignored until then, as before.

--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -14,6 +14,8 @@
 
 import pytest
 
+from winchspan.net.discovery_watch import OLDER_VERSION_LIMIT_MS
+
 from .loopback import Call, CourierHarness, Server, encode_submit, message_class, wait_for
 
 
@@ -218,6 +220,63 @@
         agent.close()
 
 
+# Guards against a discovery that begins its versions anew, which was taken for the one before: its lists
+# counted as older for good, and messages went on to endpoints that had gone.
+def test_discovery_that_begins_its_versions_anew_is_heard(harness: CourierHarness, other: Server):
+    for name in ("s-3", "s-4"):  # version 41, say
+        harness.list_endpoint(name, harness.endpoint, dest=9)
+    harness.start()
+    wait_for("the first watch is open", lambda: harness.discovery.watches)
+    deliver(harness)
+    harness.discovery.hosts = {"s-2": harness.discovery.hosts["s-1"] | {"host": "s-2", "dial": other.address}}
+    harness.discovery.seq = 1
+    harness.discovery.watches[0].connection.close()
+    wait_for("the new discovery is watched", lambda: len(harness.discovery.watches) > 1)
+    wait_for("its list is applied", lambda: "they begin anew" in harness.read_log())
+    assert_messages_move_to(harness, other)
+
+
+def test_discovery_that_lags_and_catches_up_keeps_the_newer_list(harness: CourierHarness, other: Server):
+    harness.start()
+    wait_for("the first watch is open", lambda: harness.discovery.watches)
+    newer = harness.list_endpoint("s-2", other)
+    older = json.dumps({"seq": harness.discovery.seq - 2, "whole": True, "hosts": []}).encode() + b"\n"
+    watch = harness.discovery.watches[0]
+    for line in (newer, older, harness.discovery.change_endpoint("s-1", health="removed")):
+        harness.discovery.send_chunk(watch, line)
+    assert_messages_move_to(harness, other)
+    time.sleep(OLDER_VERSION_LIMIT_MS / 1_000.0 + 0.2)
+    assert "they begin anew" not in harness.read_log()
+
+
+# Guards against an endpoint that is taken for the one that had its address before.
+def test_endpoint_at_the_address_of_one_that_has_gone_gets_a_connection_of_its_own(harness: CourierHarness):
+    endpoint = harness.endpoint
+    endpoint.on_call = lambda call: None
+    harness.start()
+    wait_for("the first watch is open", lambda: harness.discovery.watches)
+    harness.submit(encode_submit("idle"))
+    (idle,) = harness.wait_for_calls(1)
+    harness.submit(encode_submit("held"))
+    (idle, held) = harness.wait_for_calls(2)
+    idle.answer()
+    gone = json.loads(harness.discovery.change_endpoint("s-1", health="removed"))
+    new = json.loads(harness.list_endpoint("s-2", endpoint, dest=8))
+    new["hosts"] = gone["hosts"] + new["hosts"]
+    harness.discovery.send_chunk(harness.discovery.watches[0], json.dumps(new).encode() + b"\n")
+    wait_for("the list is known", lambda: len(harness.discovery.hosts) == 1)
+    client = harness.connect_client()
+    wait_for(
+        "the new endpoint serves its destination",
+        lambda: client.request(encode_submit("new", dest=8)).startswith(b"+OK"),
+    )
+    (call,) = harness.wait_for_calls(3)[2:]
+    assert call.ids == ["new"] and call.connection not in (idle.connection, held.connection)
+    held.answer()
+    call.answer()
+    client.close()
+
+
 def test_open_messages_keep_the_class_of_their_submit_after_sighup_and_a_restart(harness: CourierHarness):
     """A message that may run only once is not repeated, even if its class is repeatable after the reload."""
     harness.endpoint.on_call = lambda call: None
--- a/winchspan/net/discovery_watch.py
+++ b/winchspan/net/discovery_watch.py
@@ -31,6 +31,13 @@
 OVERDUE_LIMIT_MS: Final = 3_000.0
 """Further time for the first line of a watch beside which another one is open."""
 
+OLDER_VERSION_LIMIT_MS: Final = 4_000.0
+"""Time for which a watch's versions may lie below the stored one.
+
+A replica that lags catches up within it. A discovery that begins its versions anew, at the same address or at
+another one, never would, and nothing it tells would be applied.
+"""
+
 REOPEN_DELAY_MS: Final = 200.0
 """Delay between the end of a watch and the next request."""
 
@@ -82,6 +89,7 @@
         self._overdue: list[_Stream] = []  # without a first line in time
         self._reopen_timer: Timer | None = None
         self._silence_timer: Timer | None = None
+        self._older_version_timer: Timer | None = None  # while the watch's versions lie below the stored one
         self._partial_line = bytearray()
         self._partial_object = b""  # received lines of an object that spans several lines
         self._open_bracket_count = 0  # in `_partial_object`
@@ -214,15 +222,34 @@
             update = parse_json(data)
             if not isinstance(update, dict):
                 raise FieldError("a line must hold an object")
-            self._directory.apply(update)
+            is_older = self._directory.apply(update)
         except FieldError as err:
             logger.warning("discovery: unreadable update: {}", err)
             self._request_snapshot()
             return
+        self._check_version(is_older=is_older)
         # Only a full list ends the request: a change does not repeat the update that could not be read.
         if update.get("whole") is True:
             self._needs_snapshot = False
 
+    def _check_version(self, *, is_older: bool) -> None:
+        """Bound the time for which discovery tells older versions than the stored one."""
+        timer = self._older_version_timer
+        if not is_older and timer is not None:
+            timer.cancel()
+            self._older_version_timer = None
+        elif is_older and timer is None:
+            self._older_version_timer = self._timers.call_later(
+                OLDER_VERSION_LIMIT_MS, self._restart_versions
+            )
+
+    def _restart_versions(self) -> None:
+        """Apply the full list of a discovery that has begun its versions anew."""
+        logger.warning("discovery: its versions stay below {}: they begin anew", self._directory.sequence)
+        self._older_version_timer = None
+        self._directory.forget_version()
+        self._request_snapshot()
+
     def _request_snapshot(self) -> None:
         """Cancel the watch and request the full list, after an unusable update."""
         self._needs_snapshot = True
--- a/winchspan/net/endpoint_directory.py
+++ b/winchspan/net/endpoint_directory.py
@@ -112,7 +112,7 @@
         self._on_offline_change = on_offline_change
 
     # ---- the list ----------------------------------------------------------------------------------------
-    def apply(self, update: Mapping[str, Any], scope: api.UpdateScope | None = None) -> None:
+    def apply(self, update: Mapping[str, Any], scope: api.UpdateScope | None = None) -> bool:
         """Apply one list or change.
 
         An invalid entry is skipped, so that it does not prevent the drain of another endpoint.
@@ -121,6 +121,9 @@
             update: the decoded JSON object.
             scope: the scope to publish; None: full list or changes, by the update.
 
+        Returns:
+            Whether the update was ignored, since it is older than the stored list.
+
         Raises:
             FieldError: the update itself is invalid.
         """
@@ -129,7 +132,7 @@
         is_complete = read_field(data, "whole", bool, False)
         records = self._read_endpoints(data)
         if sequence < self.sequence or (sequence == self.sequence and not is_complete):
-            return  # stale: the stored list is newer
+            return sequence < self.sequence
         self.sequence = sequence
         if is_complete:
             self._mark_missing_as_gone(records)
@@ -139,6 +142,11 @@
         if scope is None:
             scope = api.UpdateScope.SNAPSHOT if is_complete else api.UpdateScope.CHANGES
         self._publish(scope, records)
+        return False
+
+    def forget_version(self) -> None:
+        """Apply the next list whatever its version; the endpoints are kept until then."""
+        self.sequence = -1
 
     def _read_endpoints(self, data: dict[str, Any]) -> list[EndpointRecord]:
         records = []
