Draw the return of a courier within a takeover, and share the tests' fleets

Change: a courier is killed, with its folder or without, and is back within the takeover, at times drawn by seed; messages of a key that go before another one are reported. The fleets and partners of the tests of takeovers, which stood three times, are started in one place; their checks are the same.

--- a/tests/fleet_helpers.py
+++ b/tests/fleet_helpers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
 
 from winchspan.fakes.client_load import NOTICE, PAYMENT
-from winchspan.fakes.fleet import Fleet
+from winchspan.fakes.fleet import Fleet, ProcessFleetOptions
 from winchspan.fakes.fleet_courier import wait_for
-from winchspan.fakes.recording_endpoints import RecordingEndpoints
+from winchspan.fakes.recording_endpoints import RecordingEndpoints, ThreadedRecordingEndpoints
 from winchspan.fakes.submission import Submission, new_message_id, submit_message
 
 NAMES = ("n0", "n1", "n2")
@@ -15,6 +18,47 @@
 NO_TOKEN = "0" * 16
 NOTICE_DEADLINE_MS = 9_000
 PAYMENT_DEADLINE_MS = 20_000
+ENDPOINTS = ("s-0", "s-1", "s-2")
+
+
+@contextmanager
+def recording_partner() -> Iterator[ThreadedRecordingEndpoints]:
+    """Serve `ENDPOINTS`; each delivery takes a moment, so that it is recorded as it starts."""
+    endpoints = ThreadedRecordingEndpoints(len(ENDPOINTS), 200.0)
+    endpoints.service_seconds = 0.02
+    try:
+        yield endpoints
+    finally:
+        endpoints.close()
+
+
+@contextmanager
+def replicated_fleet(
+    directory: Path,
+    partner: ThreadedRecordingEndpoints,
+    section_options: str = "(copies 1)",
+    *,
+    has_relay: bool = True,
+    settings_changes: Mapping[str, Any] | None = None,
+) -> Iterator[Fleet]:
+    """Run a fleet of the couriers `NAMES` with replicas; all of them accept messages."""
+    fleet = Fleet(
+        directory,
+        len(NAMES),
+        ProcessFleetOptions(
+            section_options,
+            has_relay=has_relay,
+            discovery_port=partner.agent_port,
+            known_endpoints=partner.endpoint_list(),
+            settings_changes=settings_changes or {},
+        ),
+    )
+    fleet.start()
+    try:
+        wait_until_all_accept(fleet)
+        yield fleet
+    finally:
+        fleet.stop()
 
 
 def submit_notice(port: int, destination: int, deadline_ms: int = 5_000, message_id: str = "") -> bytes:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -12,6 +12,7 @@
 import pytest
 
 from winchspan import api
+from winchspan.cluster.claim_service import ClaimService
 from winchspan.cluster.journal_stream import JournalStream
 from winchspan.cluster.replication_service import ReplicationService
 from winchspan.fakes.client_load import DEPOSIT, MESSAGE_CLASSES, NOTICE, PAYMENT, ClientLoad
@@ -23,7 +24,7 @@
     make_emulated_fleet,
     simulate_failures,
 )
-from winchspan.fakes.fleet import Fleet, ProcessFleetOptions
+from winchspan.fakes.fleet import Fleet
 from winchspan.fakes.fleet_courier import wait_for
 from winchspan.fakes.recording_endpoints import (
     FinalAnswer,
@@ -33,10 +34,13 @@
 from winchspan.simulation.cluster import EmulatedFleet
 
 from .fleet_helpers import (
+    ENDPOINTS,
     NAMES,
     accepts_messages,
     assert_delivered_once,
     has_started,
+    recording_partner,
+    replicated_fleet,
     submit_notice,
     submit_notices,
     submit_payment,
@@ -44,39 +48,23 @@
     wait_for_final_answers,
     wait_for_no_takeover,
     wait_for_takeover,
-    wait_until_all_accept,
 )
 
 OTHERS = ("n0", "n2")  # all couriers except n1, which fails
-ENDPOINTS = ("s-0", "s-1", "s-2")
 KEY = 77  # ordering key
 TOKEN = "5c0f6e1a2b3d4c59"
 
 
 @pytest.fixture
 def partner() -> Iterator[ThreadedRecordingEndpoints]:
-    endpoints = ThreadedRecordingEndpoints(len(ENDPOINTS), 200.0)
-    endpoints.service_seconds = 0.02  # so that each delivery is recorded as it starts
-    yield endpoints
-    endpoints.close()
+    with recording_partner() as endpoints:
+        yield endpoints
 
 
 @pytest.fixture
 def fleet(tmp_path: Path, partner: ThreadedRecordingEndpoints) -> Iterator[Fleet]:
-    three_couriers = Fleet(
-        tmp_path,
-        3,
-        ProcessFleetOptions(
-            "(copies 1)",
-            has_relay=True,
-            discovery_port=partner.agent_port,
-            known_endpoints=partner.endpoint_list(),
-        ),
-    )
-    three_couriers.start()
-    wait_until_all_accept(three_couriers)
-    yield three_couriers
-    three_couriers.stop()
+    with replicated_fleet(tmp_path, partner) as three_couriers:
+        yield three_couriers
 
 
 @pytest.mark.parametrize("is_data_lost", [False, True])
@@ -215,19 +203,9 @@
 
 @pytest.fixture
 def graceful_fleet(tmp_path: Path, partner: ThreadedRecordingEndpoints) -> Iterator[Fleet]:
-    three_couriers = Fleet(
-        tmp_path,
-        3,
-        ProcessFleetOptions(
-            "(copies 1) (hand-over yes)",
-            discovery_port=partner.agent_port,
-            known_endpoints=partner.endpoint_list(),
-        ),
-    )
-    three_couriers.start()
-    wait_until_all_accept(three_couriers)
-    yield three_couriers
-    three_couriers.stop()
+    options = "(copies 1) (hand-over yes)"
+    with replicated_fleet(tmp_path, partner, options, has_relay=False) as three_couriers:
+        yield three_couriers
 
 
 def test_hand_over_at_sigterm_does_not_wait_for_failure_detection(
@@ -501,3 +479,67 @@
     wait_for_final_answers(partner, ids)
     assert started_order(partner, ids)[:2] == ids[:2]
     assert_delivered_once(partner, ids)
+
+
+def reordered_messages(endpoints: RecordingEndpoints, load: ClientLoad, courier: str) -> list[str]:
+    """Return the messages that a courier accepted behind another one of their key and that went before it.
+
+    A client submits a message behind another one if it has the reply to that one.
+    """
+    first_start_seconds: dict[str, float] = {}
+    for start in endpoints.delivery_starts:
+        first_start_seconds.setdefault(start.message_id, start.at_seconds)
+    own = [each for each in load.accepted.values() if each.courier == courier and each.ordering_key]
+    return [
+        later.message_id
+        for later in own
+        if any(
+            earlier.ordering_key == later.ordering_key
+            and earlier.accepted_at_seconds <= load.submitted[later.token].at_seconds
+            and first_start_seconds.get(later.message_id, float("inf"))
+            < endpoints.final_answer_seconds.get(earlier.message_id, float("inf"))
+            for earlier in own
+        )
+    ]
+
+
+def play_return_within_a_takeover(directory: Path, seed: int) -> list[str]:
+    """Return the reordered messages of a courier that is back while others still hold its earlier ones."""
+    rng = random.Random(seed)
+    fleet = make_emulated_fleet(directory, 3, seed, "(copies 1)")
+    try:
+        fleet.endpoints.service_seconds = rng.uniform(2.0, 4.0)
+        start_and_wait(fleet)
+        fleet.run(3.0)
+        load = ClientLoad(fleet.ports, 8.0, DESTINATION_COUNT, fleet.now, seed)
+        clients = fleet.loop.create_task(load.run())
+        fleet.run(rng.uniform(2.0, 4.0))
+        fleet.execute_action(rng.choice(["kill", "lose"]), "n1")
+        fleet.wait_until(
+            "another takes over its messages",
+            lambda: any(member.metrics().get("fleet.copies.taken_over") for member in fleet.members.values()),
+        )
+        fleet.run(rng.uniform(0.0, 1.0))
+        fleet.execute_action("start", "n1")
+        fleet.run(8.0)
+        load.stop()
+        fleet.endpoints.service_seconds = 0.2
+        fleet.wait_until("all clients have ended", clients.done)
+        fleet.run(30.0)
+        assert audit_deliveries(fleet.endpoints, load).violations == {}
+        return reordered_messages(fleet.endpoints, load, "n1")
+    finally:
+        fleet.close()
+
+
+# Guards against claims on messages taken over that end when their first owner is back (review, case 9).
+@pytest.mark.parametrize("seed", [3, 4, 6])
+def test_messages_of_a_courier_that_is_back_wait_for_those_taken_over(tmp_path: Path, seed: int):
+    assert play_return_within_a_takeover(tmp_path, seed) == []
+
+
+def test_reordered_messages_are_found_where_claims_of_a_takeover_have_their_first_owners_name(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+):
+    monkeypatch.setattr(ClaimService, "claim_taken_over", ClaimService.claim)
+    assert play_return_within_a_takeover(tmp_path, 4)
--- a/tests/test_takeover_steps.py
+++ b/tests/test_takeover_steps.py
@@ -22,11 +22,14 @@
 
 from .fleet_helpers import (
     ACCEPTED,
+    ENDPOINTS,
     NAMES,
     NOTICE_DEADLINE_MS,
     PAYMENT_DEADLINE_MS,
     assert_delivered_once,
     has_started,
+    recording_partner,
+    replicated_fleet,
     submit_notice,
     submit_payment,
     wait_for_final_answers,
@@ -36,36 +39,21 @@
 )
 
 OTHERS = ("n0", "n2")  # all couriers except n1, which fails
-ENDPOINTS = ("s-0", "s-1", "s-2")
 KEY = 77  # ordering key
 TOKEN = "5c0f6e1a2b3d4c59"
 
 
 @pytest.fixture
 def partner() -> Iterator[ThreadedRecordingEndpoints]:
-    endpoints = ThreadedRecordingEndpoints(len(ENDPOINTS), 200.0)
-    endpoints.service_seconds = 0.02  # so that each delivery is recorded as it starts
-    yield endpoints
-    endpoints.close()
+    with recording_partner() as endpoints:
+        yield endpoints
 
 
 @pytest.fixture
 def fleet(tmp_path: Path, partner: ThreadedRecordingEndpoints) -> Iterator[Fleet]:
-    three_couriers = Fleet(
-        tmp_path,
-        3,
-        ProcessFleetOptions(
-            "(copies 1)",
-            has_relay=True,
-            discovery_port=partner.agent_port,
-            known_endpoints=partner.endpoint_list(),
-            settings_changes={"classes": MESSAGE_CLASSES},
-        ),
-    )
-    three_couriers.start()
-    wait_until_all_accept(three_couriers)
-    yield three_couriers
-    three_couriers.stop()
+    changes = {"classes": MESSAGE_CLASSES}
+    with replicated_fleet(tmp_path, partner, settings_changes=changes) as three_couriers:
+        yield three_couriers
 
 
 def replica_of(fleet: Fleet, name: str) -> str:
