A courier that starts with other classes goes by the stricter ones for 1.5 s

Cause: the stricter of both classes binds for 1.5 s by a timer of the process alone. The next process went by the file.

A start under others begins a transition from them. A hand-over that tells of none ends it.

--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from winchspan.config.transitions import CLASS_TRANSITION_MS
 from winchspan.net.discovery_watch import OLDER_VERSION_LIMIT_MS
 
 from .loopback import Call, CourierHarness, Server, encode_submit, message_class, wait_for
@@ -291,6 +292,7 @@
     harness.kill()
     harness.start()
     harness.wait_for_notification("old", "failed")
+    time.sleep(CLASS_TRANSITION_MS / 1_000.0)  # until then the old class binds, too
     harness.submit(encode_submit("new", "once"))
     assert harness.wait_for_calls(2)[1].ids == ["new"]
     harness.kill()
--- a/winchspan/delivery/engine.py
+++ b/winchspan/delivery/engine.py
@@ -76,7 +76,7 @@
         self._release = MessageRelease(context, table, events)
         self._journal_retry = JournalRetry(context)
         self._hand_over = HandOver(context, EngineParts(table, events, attempts, cycle, recovery))
-        reconfiguration.record_classes()
+        reconfiguration.recover()
 
     # ---- state -------------------------------------------------------------------------------------------
     @property
--- a/winchspan/delivery/reconfiguration.py
+++ b/winchspan/delivery/reconfiguration.py
@@ -70,11 +70,17 @@
         self._switch_timer = None
         self._put_in_force(settings)
 
+    def _end_transition(self) -> None:
+        """End a transition before its time, if there is one."""
+        if self._switch_timer is not None:
+            self._switch_timer.cancel()
+            self._finish_switch(self._target)
+
     def _put_in_force(self, settings: api.Settings) -> None:
         self._context.settings = settings
         self._context.classes = dict(settings.classes)
         self._events.keep_accepted_classes()  # of events that wait for the end of a suspension
-        self.record_classes()
+        self._record_classes()
         self._context.metrics.register_classes(settings.classes)
         self._context.scheduler.reconfigure(replace(settings, classes=self._context.classes))
         self._context.overload_control.reconfigure(settings)
@@ -100,21 +106,45 @@
         if state is None:
             return
         try:
-            in_force = _decode_classes(state.in_force)
-            target = _decode_classes(state.target)
+            in_force = _classes_from_rows(parse_json(state.in_force))
+            target = _classes_from_rows(parse_json(state.target))
         except FieldError as err:
             logger.error("take-over: the classes of the previous process cannot be used: {}", err)
             return
-        own = self._context.settings
+        own = self._target
         now_ms = self._context.clock.now()
         if in_force == own.classes:
+            self._end_transition()
             return
         is_same_target = target == own.classes and state.ends_at_ms is not None
         ends_at_ms = state.ends_at_ms if is_same_target else now_ms + CLASS_TRANSITION_MS
         if ends_at_ms is not None and ends_at_ms > now_ms:
             self._begin_transition(in_force, own, ends_at_ms)
 
-    def record_classes(self) -> None:
+    # ---- restart -----------------------------------------------------------------------------------------
+    def recover(self) -> None:
+        """Begin a transition if the classes in force at the end of the previous process were others.
+
+        Clients may use them still: that process may have ended within a transition, or behind SIGHUP before
+        it read the new settings. Guards against a message that must run once only and is repeated by the
+        rules of its class to be.
+        """
+        target = with_attempt_limits(self._target)
+        previous = self._recorded_classes()
+        if previous and with_attempt_limits(replace(target, classes=previous)).classes != target.classes:
+            self._begin_transition(previous, target, self._context.clock.now() + CLASS_TRANSITION_MS)
+        else:
+            self._record_classes()
+
+    def _recorded_classes(self) -> dict[str, api.MessageClass]:
+        """Return the classes in the journal; empty if there are none, or none that can be used."""
+        try:
+            return _classes_from_rows(self._journal.current_classes)
+        except FieldError as err:
+            logger.error("journal: the classes of the previous process cannot be used: {}", err)
+            return {}
+
+    def _record_classes(self) -> None:
         """Record the classes in force in the journal, for messages that are recovered from it."""
         classes = self._context.settings.classes.values()
         self._journal.record_classes([message_class_to_json(message_class) for message_class in classes])
@@ -124,9 +154,8 @@
     return json.dumps([message_class_to_json(message_class) for message_class in classes.values()]).encode()
 
 
-def _decode_classes(encoded: bytes) -> dict[str, api.MessageClass]:
+def _classes_from_rows(rows: object) -> dict[str, api.MessageClass]:
     """Return classes by name; raises FieldError."""
-    rows = parse_json(encoded)
     if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
         raise FieldError("the classes must be an array of objects")
     classes = [message_class_from_json(row) for row in rows]
--- a/winchspan/storage/journal.py
+++ b/winchspan/storage/journal.py
@@ -72,6 +72,11 @@
         """Number of the table of the classes that messages are accepted under now."""
         return self._state.current_class_table
 
+    @property
+    def current_classes(self) -> list[dict[str, Any]]:
+        """The classes that messages are accepted under now; empty if none are recorded."""
+        return self._state.class_tables.get(self._state.current_class_table, [])
+
     @property
     def work_epoch(self) -> int:
         """The epoch under which this courier owns its journal; 0 if none is needed."""
